--- /dev/null
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/package-info.java
@@ -0,0 +1,5 @@
+/** Measurements of the decision code on a virtual clock. */
+@NullMarked
+package org.hornbeamward.bench;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpReply.java
@@ -0,0 +1,68 @@
+package org.hornbeamward.transport.http;
+
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * One response. Immutable.
+ *
+ * @param status HTTP status code
+ * @param headers header fields besides Content-Length
+ * @param body the whole body
+ */
+public record HttpReply(int status, Map<String, String> headers, byte[] body) {
+
+    /** Copies the header fields. */
+    public HttpReply {
+        headers = Map.copyOf(headers);
+    }
+
+    /**
+     * Creates a response with a JSON body.
+     *
+     * @param status HTTP status code
+     * @param json the body
+     * @return the response
+     */
+    public static HttpReply json(int status, String json) {
+        return text(status, "application/json", json);
+    }
+
+    /**
+     * Creates a response with a problem document (RFC 9457).
+     *
+     * @param status HTTP status code
+     * @param json the body
+     * @return the response
+     */
+    public static HttpReply problem(int status, String json) {
+        return text(status, "application/problem+json", json);
+    }
+
+    /**
+     * Creates a response with a text body in UTF-8.
+     *
+     * @param status HTTP status code
+     * @param contentType media type
+     * @param text the body
+     * @return the response
+     */
+    public static HttpReply text(int status, String contentType, String text) {
+        return new HttpReply(
+                status, Map.of("Content-Type", contentType), text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /**
+     * Adds a header field.
+     *
+     * @param name field name
+     * @param value field value
+     * @return a copy with the field
+     */
+    public HttpReply withHeader(String name, String value) {
+        Map<String, String> all = new LinkedHashMap<>(headers);
+        all.put(name, value);
+        return new HttpReply(status, all, body);
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpServer.java
@@ -0,0 +1,191 @@
+package org.hornbeamward.transport.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * An HTTP/1.1 server with one request at a time on a connection. A body above the limit is refused
+ * with status 413 before it is buffered whole.
+ */
+public final class HttpServer implements AutoCloseable {
+    private static final int BACKLOG_COUNT = 1024;
+
+    private final EventLoopGroup mLoops;
+    private final ChannelGroup mConnections =
+            new DefaultChannelGroup("http", GlobalEventExecutor.INSTANCE);
+    private final AtomicInteger mInFlight = new AtomicInteger();
+    private final Channel mListener;
+    private volatile boolean mDraining;
+
+    /**
+     * Starts listening.
+     *
+     * @param host address to bind
+     * @param port port to bind, 0 for any free one
+     * @param threadCount event loop threads
+     * @param maxBodyBytes largest request body
+     * @param handler answers the requests
+     * @throws InterruptedException if interrupted while binding
+     */
+    public HttpServer(String host, int port, int threadCount, int maxBodyBytes, HttpHandler handler)
+            throws InterruptedException {
+        mLoops = new NioEventLoopGroup(threadCount);
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(mLoops)
+                        .channel(NioServerSocketChannel.class)
+                        .option(io.netty.channel.ChannelOption.SO_BACKLOG, BACKLOG_COUNT)
+                        .childOption(io.netty.channel.ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel channel) {
+                                        mConnections.add(channel);
+                                        channel.pipeline()
+                                                .addLast(new HttpServerCodec())
+                                                .addLast(new HttpObjectAggregator(maxBodyBytes))
+                                                .addLast(new CallHandler(handler));
+                                    }
+                                });
+        mListener = bootstrap.bind(host, port).sync().channel();
+    }
+
+    /**
+     * Returns the bound port.
+     *
+     * @return the port number
+     */
+    public int port() {
+        return ((InetSocketAddress) mListener.localAddress()).getPort();
+    }
+
+    /**
+     * Returns the requests that were received and not answered.
+     *
+     * @return their number
+     */
+    public int inFlightCount() {
+        return mInFlight.get();
+    }
+
+    /** Stops accepting connections and closes each open one after its next response. */
+    public void startDraining() {
+        mDraining = true;
+        mListener.close();
+    }
+
+    /** Stops at once: closes all connections and threads. */
+    @Override
+    public void close() {
+        mListener.close().awaitUninterruptibly();
+        mConnections.close().awaitUninterruptibly(1, TimeUnit.SECONDS);
+        mLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private final HttpHandler mHandler;
+
+        CallHandler(HttpHandler handler) {
+            mHandler = handler;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            boolean keepAlive = HttpUtil.isKeepAlive(request);
+            if (!request.decoderResult().isSuccess()) {
+                HttpReply reply = HttpReply.json(400, "{\"kind\":\"MalformedRequest\"}");
+                write(context, reply, false);
+                return;
+            }
+            // Responses must keep the order of requests, so reading pauses until this one is done.
+            context.channel().config().setAutoRead(false);
+            mInFlight.incrementAndGet();
+            call(request)
+                    .whenComplete(
+                            (reply, failure) -> {
+                                HttpReply answer = failure == null ? reply : failed(failure);
+                                context.executor()
+                                        .execute(() -> finish(context, answer, keepAlive));
+                            });
+        }
+
+        private CompletionStage<HttpReply> call(FullHttpRequest request) {
+            try {
+                QueryStringDecoder target = new QueryStringDecoder(request.uri());
+                return mHandler.handle(
+                        new HttpCall(
+                                request.method().name(),
+                                target.path(),
+                                request.uri(),
+                                target.parameters(),
+                                request.headers().copy(),
+                                ByteBufUtil.getBytes(request.content())));
+            } catch (RuntimeException e) {
+                return java.util.concurrent.CompletableFuture.failedStage(e);
+            }
+        }
+
+        private HttpReply failed(@Nullable Throwable failure) {
+            return HttpReply.problem(
+                    500,
+                    "{\"kind\":\"InternalError\",\"message\":\""
+                            + (failure == null ? "" : failure.getClass().getSimpleName())
+                            + "; see the log of the instance\"}");
+        }
+
+        private void finish(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+            write(context, reply, keepAlive && !mDraining);
+            mInFlight.decrementAndGet();
+            context.channel().config().setAutoRead(true);
+        }
+
+        private void write(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+            FullHttpResponse response =
+                    new DefaultFullHttpResponse(
+                            HttpVersion.HTTP_1_1,
+                            HttpResponseStatus.valueOf(reply.status()),
+                            Unpooled.wrappedBuffer(reply.body()));
+            reply.headers().forEach((name, value) -> response.headers().set(name, value));
+            response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
+            if (keepAlive) {
+                context.writeAndFlush(response);
+                return;
+            }
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/command/RecordCheckpoint.java
@@ -0,0 +1,12 @@
+package org.hornbeamward.command;
+
+import org.hornbeamward.lib.TaskId;
+
+/**
+ * Records a newer checkpoint of a running task.
+ *
+ * @param task the task
+ * @param token token of its placement
+ * @param checkpoint number of the checkpoint, growing
+ */
+public record RecordCheckpoint(TaskId task, long token, long checkpoint) implements Command {}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/command/RegisterWorker.java
@@ -0,0 +1,27 @@
+package org.hornbeamward.command;
+
+import org.hornbeamward.lib.FailureDomainId;
+import org.hornbeamward.lib.RegionId;
+import org.hornbeamward.lib.Resources;
+import org.hornbeamward.lib.WorkerId;
+
+/**
+ * Makes a worker or a new incarnation of it available.
+ *
+ * @param worker the worker
+ * @param incarnation drawn by the worker at its start
+ * @param failureDomain its failure domain
+ * @param region its region
+ * @param rack its rack
+ * @param capacity all it has
+ * @param address host:port that supervisors connect to
+ */
+public record RegisterWorker(
+        WorkerId worker,
+        long incarnation,
+        FailureDomainId failureDomain,
+        RegionId region,
+        String rack,
+        Resources capacity,
+        String address)
+        implements Command {}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/command/TrustMember.java
@@ -0,0 +1,11 @@
+package org.hornbeamward.command;
+
+import org.hornbeamward.lib.InstanceId;
+
+/**
+ * Withdraws the author's suspicion.
+ *
+ * @param target the member
+ * @param targetIncarnation its incarnation
+ */
+public record TrustMember(InstanceId target, long targetIncarnation) implements Command {}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/config/PolicyConfig.java
@@ -0,0 +1,11 @@
+package org.hornbeamward.config;
+
+/**
+ * The placement policy: entry {@code policy}.
+ *
+ * @param placementPolicy name of a registered placement policy
+ */
+public record PolicyConfig(String placementPolicy) {
+    /** Used when no entry names a policy. */
+    public static final PolicyConfig DEFAULT = new PolicyConfig("interference");
+}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/errors/LogRetentionPassed.java
@@ -0,0 +1,21 @@
+package org.hornbeamward.errors;
+
+/**
+ * A read from before the oldest retained record.
+ *
+ * @param stream the stream
+ * @param fromOffset the offset asked for
+ * @param earliestOffset the oldest offset that can be read
+ */
+public record LogRetentionPassed(String stream, long fromOffset, long earliestOffset)
+        implements HornbeamwardError {
+
+    @Override
+    public String message() {
+        return stream
+                + " no longer has offset "
+                + fromOffset
+                + "; load a snapshot at or after "
+                + earliestOffset;
+    }
+}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/errors/RingFull.java
@@ -0,0 +1,15 @@
+package org.hornbeamward.errors;
+
+/**
+ * A bounded ring that had no room.
+ *
+ * @param ring the ring
+ * @param capacityCount its capacity
+ */
+public record RingFull(String ring, int capacityCount) implements HornbeamwardError {
+
+    @Override
+    public String message() {
+        return "ring " + ring + " is full at " + capacityCount + "; retry later or reduce the load";
+    }
+}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/errors/package-info.java
@@ -0,0 +1,5 @@
+/** One class per kind of failure; each message names the remedy. */
+@NullMarked
+package org.hornbeamward.errors;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/lib/FailureDomainId.java
@@ -0,0 +1,32 @@
+package org.hornbeamward.lib;
+
+import io.vavr.control.Either;
+import org.hornbeamward.errors.MalformedId;
+
+/**
+ * The name of a failure domain.
+ *
+ * @param value 1 to 64 characters out of letters, digits, {@code .}, {@code _} and {@code -}
+ */
+public record FailureDomainId(String value) implements Comparable<FailureDomainId> {
+
+    /**
+     * Parses a name.
+     *
+     * @param text the name as written in settings, commands or records
+     * @return the id, or an error that holds the text
+     */
+    public static Either<MalformedId, FailureDomainId> parse(String text) {
+        return IdSyntax.check("failure domain", text).map(FailureDomainId::new);
+    }
+
+    @Override
+    public int compareTo(FailureDomainId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/lib/InstanceId.java
@@ -0,0 +1,32 @@
+package org.hornbeamward.lib;
+
+import io.vavr.control.Either;
+import org.hornbeamward.errors.MalformedId;
+
+/**
+ * The name of an entry instance.
+ *
+ * @param value 1 to 64 characters out of letters, digits, {@code .}, {@code _} and {@code -}
+ */
+public record InstanceId(String value) implements Comparable<InstanceId> {
+
+    /**
+     * Parses a name.
+     *
+     * @param text the name as written in settings, commands or records
+     * @return the id, or an error that holds the text
+     */
+    public static Either<MalformedId, InstanceId> parse(String text) {
+        return IdSyntax.check("instance", text).map(InstanceId::new);
+    }
+
+    @Override
+    public int compareTo(InstanceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/lib/RegionId.java
@@ -0,0 +1,32 @@
+package org.hornbeamward.lib;
+
+import io.vavr.control.Either;
+import org.hornbeamward.errors.MalformedId;
+
+/**
+ * The name of a region, which holds one or more failure domains.
+ *
+ * @param value 1 to 64 characters out of letters, digits, {@code .}, {@code _} and {@code -}
+ */
+public record RegionId(String value) implements Comparable<RegionId> {
+
+    /**
+     * Parses a name.
+     *
+     * @param text the name as written in settings, commands or records
+     * @return the id, or an error that holds the text
+     */
+    public static Either<MalformedId, RegionId> parse(String text) {
+        return IdSyntax.check("region", text).map(RegionId::new);
+    }
+
+    @Override
+    public int compareTo(RegionId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/lib/TeamId.java
@@ -0,0 +1,32 @@
+package org.hornbeamward.lib;
+
+import io.vavr.control.Either;
+import org.hornbeamward.errors.MalformedId;
+
+/**
+ * The name of a team with a quota.
+ *
+ * @param value 1 to 64 characters out of letters, digits, {@code .}, {@code _} and {@code -}
+ */
+public record TeamId(String value) implements Comparable<TeamId> {
+
+    /**
+     * Parses a name.
+     *
+     * @param text the name as written in settings, commands or records
+     * @return the id, or an error that holds the text
+     */
+    public static Either<MalformedId, TeamId> parse(String text) {
+        return IdSyntax.check("team", text).map(TeamId::new);
+    }
+
+    @Override
+    public int compareTo(TeamId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/lib/WorkerId.java
@@ -0,0 +1,32 @@
+package org.hornbeamward.lib;
+
+import io.vavr.control.Either;
+import org.hornbeamward.errors.MalformedId;
+
+/**
+ * The name of a worker, which runs tasks.
+ *
+ * @param value 1 to 64 characters out of letters, digits, {@code .}, {@code _} and {@code -}
+ */
+public record WorkerId(String value) implements Comparable<WorkerId> {
+
+    /**
+     * Parses a name.
+     *
+     * @param text the name as written in settings, commands or records
+     * @return the id, or an error that holds the text
+     */
+    public static Either<MalformedId, WorkerId> parse(String text) {
+        return IdSyntax.check("worker", text).map(WorkerId::new);
+    }
+
+    @Override
+    public int compareTo(WorkerId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/state/ClusterState.java
@@ -0,0 +1,383 @@
+package org.hornbeamward.state;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.hornbeamward.command.BringBackDomain;
+import org.hornbeamward.command.CancelJob;
+import org.hornbeamward.command.ChangeSlots;
+import org.hornbeamward.command.Command;
+import org.hornbeamward.command.CommandBatch;
+import org.hornbeamward.command.EndTask;
+import org.hornbeamward.command.JobKind;
+import org.hornbeamward.command.JobSpec;
+import org.hornbeamward.command.JoinMember;
+import org.hornbeamward.command.LeaveMember;
+import org.hornbeamward.command.LoseWorker;
+import org.hornbeamward.command.PlaceTask;
+import org.hornbeamward.command.PublishConfig;
+import org.hornbeamward.command.RecordCheckpoint;
+import org.hornbeamward.command.RegisterWorker;
+import org.hornbeamward.command.RejectJob;
+import org.hornbeamward.command.ReleaseWorker;
+import org.hornbeamward.command.RemoveAbsentMember;
+import org.hornbeamward.command.RenewMember;
+import org.hornbeamward.command.ReportFigures;
+import org.hornbeamward.command.StopTask;
+import org.hornbeamward.command.SubmitJob;
+import org.hornbeamward.command.SuspectMember;
+import org.hornbeamward.command.TakeOutDomain;
+import org.hornbeamward.command.TrustMember;
+import org.hornbeamward.errors.CommandRejected;
+import org.hornbeamward.errors.HornbeamwardError;
+import org.hornbeamward.lib.FencingToken;
+import org.hornbeamward.lib.InstanceId;
+import org.hornbeamward.lib.TaskId;
+import org.hornbeamward.state.Figures.TeamFigures;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The replicated state: a deterministic function of the records of the control stream. Every member
+ * applies the same records in the same order and gets the same state. Confined to the thread that
+ * applies the log.
+ */
+public final class ClusterState {
+    final MemberTable mMembers = new MemberTable();
+    final ConfigTable mConfig = new ConfigTable();
+    final DomainTable mDomains = new DomainTable();
+    final WorkTable mWork = new WorkTable();
+    final SlotTable mSlots = new SlotTable();
+    final Figures mFigures = new Figures();
+    final VerdictTable mVerdicts = new VerdictTable();
+    long mNextOffset;
+    long mLogTimeMillis;
+
+    /** Creates the state before the first record. */
+    public ClusterState() {}
+
+    /**
+     * Applies one record.
+     *
+     * @param offset its offset, at least {@link #nextOffset()}
+     * @param batch its decoded commands
+     * @return the result of each command in order; empty if the batch is a duplicate or out of
+     *     sequence and was ignored whole
+     * @throws IllegalArgumentException if the offset was applied before
+     */
+    public List<CommandResult> apply(long offset, CommandBatch batch) {
+        skip(offset);
+        Optional<Member> author = mMembers.find(batch.author(), batch.authorIncarnation());
+        long lastSequence = author.map(Member::lastSequence).orElse(0L);
+        if (batch.sequence() != lastSequence + 1) {
+            return List.of();
+        }
+        author.ifPresent(
+                member ->
+                        mMembers.mMembers.put(
+                                member.instance(), member.withSequence(batch.sequence())));
+        mLogTimeMillis = Math.max(mLogTimeMillis, batch.authorWallMillis());
+        List<CommandResult> results = new ArrayList<>(batch.commands().size());
+        for (int index = 0; index < batch.commands().size(); index++) {
+            Command command = batch.commands().get(index);
+            long token = FencingToken.of(offset, index);
+            results.add(new CommandResult(token, command, applyCommand(batch, command, token)));
+        }
+        return results;
+    }
+
+    /**
+     * Passes over a record that cannot be decoded, so that every reader ignores it alike.
+     *
+     * @param offset its offset, at least {@link #nextOffset()}
+     * @throws IllegalArgumentException if the offset was applied before
+     */
+    public void skip(long offset) {
+        if (offset < mNextOffset) {
+            throw new IllegalArgumentException("offset " + offset + " was applied before");
+        }
+        mNextOffset = offset + 1;
+    }
+
+    /**
+     * Returns the members.
+     *
+     * @return live view
+     */
+    public MemberTable members() {
+        return mMembers;
+    }
+
+    /**
+     * Returns the configuration.
+     *
+     * @return live view
+     */
+    public ConfigTable config() {
+        return mConfig;
+    }
+
+    /**
+     * Returns the failure domains.
+     *
+     * @return live view
+     */
+    public DomainTable domains() {
+        return mDomains;
+    }
+
+    /**
+     * Returns jobs, tasks and workers.
+     *
+     * @return live view
+     */
+    public WorkTable work() {
+        return mWork;
+    }
+
+    /**
+     * Returns the slots of endpoints.
+     *
+     * @return live view
+     */
+    public SlotTable slots() {
+        return mSlots;
+    }
+
+    /**
+     * Returns the review figures.
+     *
+     * @return live view
+     */
+    public Figures figures() {
+        return mFigures;
+    }
+
+    /**
+     * Returns the remembered verdicts.
+     *
+     * @return live view
+     */
+    public VerdictTable verdicts() {
+        return mVerdicts;
+    }
+
+    /**
+     * Returns the offset from which to read on.
+     *
+     * @return one more than the last applied or skipped offset
+     */
+    public long nextOffset() {
+        return mNextOffset;
+    }
+
+    /**
+     * Returns the log time, used for the month of figures only.
+     *
+     * @return highest author wall time applied so far, in milliseconds since 1970
+     */
+    public long logTimeMillis() {
+        return mLogTimeMillis;
+    }
+
+    private @Nullable HornbeamwardError applyCommand(
+            CommandBatch batch, Command command, long token) {
+        if (command instanceof JoinMember join) {
+            return join(batch, join, token);
+        }
+        if (mMembers.find(batch.author(), batch.authorIncarnation()).isEmpty()) {
+            return new CommandRejected(
+                    "instance " + batch.author(), "it is no member; join again first");
+        }
+        String commandId = commandIdOf(command);
+        if (commandId == null) {
+            return applyMemberCommand(batch, command, token);
+        }
+        Optional<VerdictTable.Verdict> first = mVerdicts.find(commandId);
+        if (first.isPresent()) {
+            String verdict =
+                    first.get().rejection().isEmpty()
+                            ? "accepted under token " + first.get().token()
+                            : first.get().rejection();
+            return new CommandRejected("command " + commandId, "repeated; first " + verdict);
+        }
+        HornbeamwardError rejection = applyMemberCommand(batch, command, token);
+        mVerdicts.remember(
+                commandId,
+                new VerdictTable.Verdict(token, rejection == null ? "" : rejection.message()));
+        return rejection;
+    }
+
+    private static @Nullable String commandIdOf(Command command) {
+        return switch (command) {
+            case PublishConfig publish -> publish.commandId();
+            case TakeOutDomain takeOut -> takeOut.commandId();
+            case BringBackDomain bringBack -> bringBack.commandId();
+            case SubmitJob submit -> submit.commandId();
+            case CancelJob cancel -> cancel.commandId();
+            case ReleaseWorker release -> release.commandId();
+            default -> null;
+        };
+    }
+
+    private @Nullable HornbeamwardError applyMemberCommand(
+            CommandBatch batch, Command command, long token) {
+        InstanceId author = batch.author();
+        return switch (command) {
+            case JoinMember join ->
+                    throw new IllegalStateException("joins are applied before this switch");
+            case LeaveMember leave -> leave(author, token);
+            case SuspectMember suspect -> suspect(author, suspect, token);
+            case TrustMember trust ->
+                    mMembers.trust(author, trust.target(), trust.targetIncarnation());
+            case RemoveAbsentMember remove -> removeAbsent(author, remove, token);
+            case RenewMember renew -> renew(author, renew);
+            case PublishConfig publish -> mConfig.publish(publish, token);
+            case TakeOutDomain takeOut -> takeOut(takeOut, token);
+            case BringBackDomain bringBack -> mDomains.bringBack(bringBack, token);
+            case SubmitJob submit -> mWork.submit(submit.job(), token, mConfig.configuration());
+            case CancelJob cancel -> mWork.cancel(cancel.job());
+            case RejectJob reject -> mWork.rejectJob(reject.job(), reject.reason());
+            case PlaceTask place -> place(place, token);
+            case StopTask stop -> mWork.stop(stop);
+            case RecordCheckpoint record -> mWork.checkpoint(record);
+            case EndTask end -> endTask(end);
+            case RegisterWorker register -> registerWorker(register);
+            case LoseWorker lose ->
+                    mWork.lose(lose.worker(), lose.incarnation(), new ArrayList<>());
+            case ReleaseWorker release -> mWork.releaseWorker(release.worker());
+            case ChangeSlots change -> changeSlots(author, change);
+            case ReportFigures report ->
+                    mFigures.report(author, batch.authorIncarnation(), report, mLogTimeMillis);
+        };
+    }
+
+    private @Nullable HornbeamwardError join(CommandBatch batch, JoinMember join, long token) {
+        boolean own =
+                join.instance().equals(batch.author())
+                        && join.incarnation() == batch.authorIncarnation();
+        if (!own) {
+            return MemberTable.rejected(join.instance(), "an instance can only join itself");
+        }
+        List<Member> ended = new ArrayList<>();
+        HornbeamwardError rejection = mMembers.join(join, batch.sequence(), token, ended);
+        freeSlots(ended, token);
+        return rejection;
+    }
+
+    private @Nullable HornbeamwardError leave(InstanceId author, long token) {
+        Member member = mMembers.all().get(author);
+        List<Member> ended = new ArrayList<>();
+        if (member != null) {
+            mSlots.leave(author);
+            mMembers.remove(member, token, ended);
+        }
+        removeSuspected(token);
+        return null;
+    }
+
+    private @Nullable HornbeamwardError suspect(
+            InstanceId author, SuspectMember suspect, long token) {
+        HornbeamwardError rejection =
+                mMembers.suspect(author, suspect.target(), suspect.targetIncarnation());
+        removeSuspected(token);
+        return rejection;
+    }
+
+    private @Nullable HornbeamwardError removeAbsent(
+            InstanceId author, RemoveAbsentMember remove, long token) {
+        Member target = mMembers.find(remove.target(), remove.targetIncarnation()).orElse(null);
+        if (target == null || author.equals(remove.target())) {
+            return MemberTable.rejected(remove.target(), "that incarnation is no other member");
+        }
+        List<Member> ended = new ArrayList<>();
+        mMembers.remove(target, token, ended);
+        freeSlots(ended, token);
+        removeSuspected(token);
+        return null;
+    }
+
+    private void removeSuspected(long token) {
+        List<Member> ended = new ArrayList<>();
+        mMembers.removeSuspected(token, ended);
+        freeSlots(ended, token);
+    }
+
+    private void freeSlots(List<Member> ended, long token) {
+        ended.forEach(member -> mSlots.removeMember(member.instance(), token));
+    }
+
+    private @Nullable HornbeamwardError renew(InstanceId author, RenewMember renew) {
+        mMembers.mMembers.computeIfPresent(
+                author,
+                (id, member) -> member.withRenewal(renew.configVersion(), renew.demandSlotCount()));
+        return null;
+    }
+
+    private @Nullable HornbeamwardError takeOut(TakeOutDomain takeOut, long token) {
+        HornbeamwardError rejection = mDomains.takeOut(takeOut, token);
+        if (rejection != null || !takeOut.lost()) {
+            return rejection;
+        }
+        List<Member> ended = new ArrayList<>();
+        for (Member member : List.copyOf(mMembers.all().values())) {
+            if (member.join().failureDomain().equals(takeOut.failureDomain())) {
+                mMembers.remove(member, token, ended);
+            }
+        }
+        freeSlots(ended, token);
+        return null;
+    }
+
+    private @Nullable HornbeamwardError place(PlaceTask place, long token) {
+        HornbeamwardError rejection = mWork.place(place, token, mConfig.configuration(), mDomains);
+        if (rejection == null) {
+            mFigures.count(
+                    mLogTimeMillis,
+                    mWork.specOf(place.task()).team(),
+                    new TeamFigures(1, 0, 0, 0, 0));
+        }
+        return rejection;
+    }
+
+    private @Nullable HornbeamwardError endTask(EndTask end) {
+        int evictionsBefore = mWork.task(end.task()).map(TaskStatus::evictionCount).orElse(0);
+        HornbeamwardError rejection = mWork.endTask(end);
+        if (rejection != null) {
+            return rejection;
+        }
+        TaskStatus task = mWork.task(end.task()).orElse(null);
+        JobSpec spec = mWork.jobs().get(end.task().job()) == null ? null : mWork.specOf(end.task());
+        if (task == null || spec == null) {
+            return null;
+        }
+        boolean batch = spec.kind() == JobKind.BATCH;
+        boolean finished = isEnded(task, TaskResult.FINISHED) && batch;
+        boolean failed = isEnded(task, TaskResult.FAILED);
+        boolean moving =
+                mDomains.changed().values().stream().anyMatch(status -> !status.inService());
+        mFigures.count(
+                mLogTimeMillis,
+                spec.team(),
+                new TeamFigures(
+                        0,
+                        task.evictionCount() - evictionsBefore,
+                        finished ? 1 : 0,
+                        failed ? 1 : 0,
+                        finished && moving ? 1 : 0));
+        return null;
+    }
+
+    private static boolean isEnded(TaskStatus task, TaskResult result) {
+        return task.state() instanceof TaskState.Ended ended && ended.result() == result;
+    }
+
+    private @Nullable HornbeamwardError registerWorker(RegisterWorker register) {
+        List<TaskId> lost = new ArrayList<>();
+        return mWork.register(register, lost);
+    }
+
+    private @Nullable HornbeamwardError changeSlots(InstanceId author, ChangeSlots change) {
+        mSlots.change(author, change, mConfig.configuration());
+        return null;
+    }
+}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/state/MemberTable.java
@@ -0,0 +1,149 @@
+package org.hornbeamward.state;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.hornbeamward.command.JoinMember;
+import org.hornbeamward.errors.CommandRejected;
+import org.hornbeamward.errors.HornbeamwardError;
+import org.hornbeamward.lib.FailureDomainId;
+import org.hornbeamward.lib.InstanceId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The members of the set of entry instances and the rules that remove them. Confined to the thread
+ * that applies the log.
+ */
+public final class MemberTable {
+    private static final int MAX_ENDED_INCARNATIONS = 4096;
+
+    final SortedMap<InstanceId, Member> mMembers = new TreeMap<>();
+    final Set<Long> mEndedIncarnations = new LinkedHashSet<>();
+    long mEpochToken;
+
+    MemberTable() {}
+
+    /**
+     * Returns all members.
+     *
+     * @return an unmodifiable view, by instance id
+     */
+    public SortedMap<InstanceId, Member> all() {
+        return Collections.unmodifiableSortedMap(mMembers);
+    }
+
+    /**
+     * Finds a member.
+     *
+     * @param instance its id
+     * @param incarnation its incarnation
+     * @return the member, or empty if that incarnation is none
+     */
+    public Optional<Member> find(InstanceId instance, long incarnation) {
+        return Optional.ofNullable(mMembers.get(instance))
+                .filter(member -> member.incarnation() == incarnation);
+    }
+
+    /**
+     * Returns the membership epoch.
+     *
+     * @return token of the last join, leave or removal; 0 before the first
+     */
+    public long epoch() {
+        return mEpochToken;
+    }
+
+    @Nullable HornbeamwardError join(
+            JoinMember join, long sequence, long token, List<Member> ended) {
+        if (mEndedIncarnations.contains(join.incarnation())) {
+            return rejected(join.instance(), "this incarnation has ended; join with a new one");
+        }
+        Member older = mMembers.get(join.instance());
+        if (older != null && older.incarnation() == join.incarnation()) {
+            return rejected(join.instance(), "this incarnation is a member already");
+        }
+        if (older != null) {
+            remove(older, token, ended);
+        }
+        Member member = new Member(join, token, sequence, new TreeSet<>(), 0, 0);
+        mMembers.put(join.instance(), member);
+        mEpochToken = token;
+        return null;
+    }
+
+    void remove(Member member, long token, List<Member> ended) {
+        mMembers.remove(member.instance());
+        mEndedIncarnations.add(member.incarnation());
+        if (mEndedIncarnations.size() > MAX_ENDED_INCARNATIONS) {
+            mEndedIncarnations.remove(mEndedIncarnations.iterator().next());
+        }
+        mEpochToken = token;
+        ended.add(member);
+        for (Member other : List.copyOf(mMembers.values())) {
+            if (other.suspectedBy().contains(member.instance())) {
+                TreeSet<InstanceId> suspects = new TreeSet<>(other.suspectedBy());
+                suspects.remove(member.instance());
+                mMembers.put(other.instance(), other.withSuspectedBy(suspects));
+            }
+        }
+    }
+
+    @Nullable HornbeamwardError suspect(InstanceId author, InstanceId target, long incarnation) {
+        return changeSuspicion(author, target, incarnation, true);
+    }
+
+    @Nullable HornbeamwardError trust(InstanceId author, InstanceId target, long incarnation) {
+        return changeSuspicion(author, target, incarnation, false);
+    }
+
+    private @Nullable HornbeamwardError changeSuspicion(
+            InstanceId author, InstanceId target, long incarnation, boolean suspected) {
+        Member member = find(target, incarnation).orElse(null);
+        if (member == null) {
+            return rejected(target, "that incarnation is no member; read the log on");
+        }
+        if (author.equals(target)) {
+            return rejected(target, "a member cannot suspect itself");
+        }
+        TreeSet<InstanceId> suspects = new TreeSet<>(member.suspectedBy());
+        boolean changed = suspected ? suspects.add(author) : suspects.remove(author);
+        if (changed) {
+            mMembers.put(target, member.withSuspectedBy(suspects));
+        }
+        return null;
+    }
+
+    /** Removes members that every member of other failure domains suspects. */
+    void removeSuspected(long token, List<Member> ended) {
+        boolean changed = true;
+        while (changed) {
+            changed = false;
+            for (Member member : new ArrayList<>(mMembers.values())) {
+                if (mMembers.containsKey(member.instance()) && suspectedByAllOthers(member)) {
+                    remove(member, token, ended);
+                    changed = true;
+                }
+            }
+        }
+    }
+
+    private boolean suspectedByAllOthers(Member member) {
+        FailureDomainId failureDomain = member.join().failureDomain();
+        List<InstanceId> others =
+                mMembers.values().stream()
+                        .filter(other -> !other.join().failureDomain().equals(failureDomain))
+                        .map(Member::instance)
+                        .toList();
+        return !others.isEmpty() && member.suspectedBy().containsAll(others);
+    }
+
+    static CommandRejected rejected(InstanceId instance, String reason) {
+        return new CommandRejected("instance " + instance, reason);
+    }
+}
