--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/codec/CommandWriter.java
@@ -0,0 +1,132 @@
+package org.hornbeamward.codec;
+
+import org.hornbeamward.command.BringBackDomain;
+import org.hornbeamward.command.CancelJob;
+import org.hornbeamward.command.ChangeSlots;
+import org.hornbeamward.command.Command;
+import org.hornbeamward.command.EndTask;
+import org.hornbeamward.command.JoinMember;
+import org.hornbeamward.command.LeaveMember;
+import org.hornbeamward.command.LoseWorker;
+import org.hornbeamward.command.PlaceTask;
+import org.hornbeamward.command.PublishConfig;
+import org.hornbeamward.command.RecordCheckpoint;
+import org.hornbeamward.command.RegisterWorker;
+import org.hornbeamward.command.RejectJob;
+import org.hornbeamward.command.ReleaseWorker;
+import org.hornbeamward.command.RemoveAbsentMember;
+import org.hornbeamward.command.RenewMember;
+import org.hornbeamward.command.ReportFigures;
+import org.hornbeamward.command.StopTask;
+import org.hornbeamward.command.SubmitJob;
+import org.hornbeamward.command.SuspectMember;
+import org.hornbeamward.command.TakeOutDomain;
+import org.hornbeamward.command.TrustMember;
+
+/** Writes commands. The tags are part of the record format and never change. */
+final class CommandWriter {
+    private CommandWriter() {}
+
+    static void write(Writer out, Command anyCommand) {
+        switch (anyCommand) {
+            case JoinMember command ->
+                    head(out, 1, 7)
+                            .text(command.instance())
+                            .integer(command.incarnation())
+                            .text(command.failureDomain())
+                            .text(command.region())
+                            .text(command.peerAddress())
+                            .text(command.adminAddress());
+            case LeaveMember command -> head(out, 2, 1);
+            case SuspectMember command ->
+                    head(out, 3, 3).text(command.target()).integer(command.targetIncarnation());
+            case TrustMember command ->
+                    head(out, 4, 3).text(command.target()).integer(command.targetIncarnation());
+            case RemoveAbsentMember command ->
+                    head(out, 5, 4)
+                            .text(command.target())
+                            .integer(command.targetIncarnation())
+                            .integer(command.listVersion());
+            case RenewMember command ->
+                    head(out, 6, 3)
+                            .integer(command.configVersion())
+                            .integer(command.demandSlotCount());
+            case PublishConfig command ->
+                    head(out, 7, 4)
+                            .text(command.commandId())
+                            .integer(command.baseVersion())
+                            .map(
+                                    command.changedEntries(),
+                                    entry -> out.text(entry.getKey()).text(entry.getValue()));
+            case TakeOutDomain command ->
+                    head(out, 8, 6)
+                            .text(command.commandId())
+                            .text(command.failureDomain())
+                            .integer(command.baseVersion())
+                            .integer(command.noticeMillis())
+                            .bool(command.lost());
+            case BringBackDomain command ->
+                    head(out, 9, 4)
+                            .text(command.commandId())
+                            .text(command.failureDomain())
+                            .integer(command.baseVersion());
+            case SubmitJob command -> {
+                head(out, 10, 3).text(command.commandId());
+                JobSpecCodec.write(out, command.job());
+            }
+            case CancelJob command ->
+                    head(out, 11, 3).text(command.commandId()).text(command.job());
+            case RejectJob command -> head(out, 12, 3).text(command.job()).text(command.reason());
+            case PlaceTask command ->
+                    head(out, 13, 5)
+                            .task(command.task())
+                            .text(command.worker())
+                            .integer(command.workerIncarnation());
+            case StopTask command ->
+                    head(out, 14, 5)
+                            .task(command.task())
+                            .integer(command.token())
+                            .integer(command.reason().ordinal());
+            case RecordCheckpoint command ->
+                    head(out, 15, 5)
+                            .task(command.task())
+                            .integer(command.token())
+                            .integer(command.checkpoint());
+            case EndTask command ->
+                    head(out, 16, 6)
+                            .task(command.task())
+                            .integer(command.token())
+                            .integer(command.outcome().ordinal())
+                            .integer(command.checkpoint());
+            case RegisterWorker command ->
+                    head(out, 17, 10)
+                            .text(command.worker())
+                            .integer(command.incarnation())
+                            .text(command.failureDomain())
+                            .text(command.region())
+                            .text(command.rack())
+                            .resources(command.capacity())
+                            .text(command.address());
+            case LoseWorker command ->
+                    head(out, 18, 3).text(command.worker()).integer(command.incarnation());
+            case ReleaseWorker command ->
+                    head(out, 19, 3).text(command.commandId()).text(command.worker());
+            case ChangeSlots command ->
+                    head(out, 20, 3)
+                            .map(
+                                    command.changes(),
+                                    entry -> out.text(entry.getKey()).integer(entry.getValue()))
+                            .integer(command.waitedToken());
+            case ReportFigures command ->
+                    head(out, 21, 3)
+                            .integer(command.sequence())
+                            .map(
+                                    command.histograms(),
+                                    entry -> out.text(entry.getKey()).bytes(entry.getValue()));
+        }
+    }
+
+    private static Writer head(Writer out, int tag, int fieldCount) {
+        return out.array(fieldCount).integer(tag);
+    }
+}
--- /dev/null
+++ b/org.hornbeamward/src/org/hornbeamward/codec/Reader.java
@@ -0,0 +1,281 @@
+package org.hornbeamward.codec;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import org.hornbeamward.errors.HornbeamwardError;
+import org.hornbeamward.errors.MalformedId;
+import org.hornbeamward.lib.EndpointId;
+import org.hornbeamward.lib.FailureDomainId;
+import org.hornbeamward.lib.InstanceId;
+import org.hornbeamward.lib.JobId;
+import org.hornbeamward.lib.RegionId;
+import org.hornbeamward.lib.Resources;
+import org.hornbeamward.lib.TaskId;
+import org.hornbeamward.lib.TeamId;
+import org.hornbeamward.lib.WorkerId;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Reads positional MessagePack values. Every method throws {@link MalformedInputException} if the
+ * next value is of another type, too long or missing. Not safe for use by several threads.
+ */
+public final class Reader {
+    /** Longest text in bytes. */
+    public static final int MAX_TEXT_BYTES = 64 * 1024;
+
+    private final byte[] mBytes;
+    private final MessageUnpacker mUnpacker;
+
+    /**
+     * Creates a reader at the first byte.
+     *
+     * @param bytes the encoded values
+     */
+    public Reader(byte[] bytes) {
+        mBytes = bytes;
+        mUnpacker = MessagePack.newDefaultUnpacker(bytes);
+    }
+
+    /** Input that cannot be read; the message says what was expected and where. */
+    public static final class MalformedInputException extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        /**
+         * Creates the exception.
+         *
+         * @param message what was expected and what was found
+         */
+        public MalformedInputException(String message) {
+            super(message);
+        }
+    }
+
+    /**
+     * Reads the head of an array.
+     *
+     * @return number of elements, never more than bytes remain
+     */
+    public int array() {
+        int size = read(mUnpacker::unpackArrayHeader);
+        if (size > remainingBytes()) {
+            throw malformed("array of " + size + " elements is longer than the input");
+        }
+        return size;
+    }
+
+    /**
+     * Reads the head of an array of known size.
+     *
+     * @param expectedSize the only accepted size
+     */
+    public void array(int expectedSize) {
+        int size = array();
+        if (size != expectedSize) {
+            throw malformed("array of " + size + " elements instead of " + expectedSize);
+        }
+    }
+
+    /**
+     * Reads an integer.
+     *
+     * @return the value
+     */
+    public long integer() {
+        return read(mUnpacker::unpackLong);
+    }
+
+    /**
+     * Reads an integer of 32 bits.
+     *
+     * @return the value
+     */
+    public int smallInteger() {
+        return read(mUnpacker::unpackInt);
+    }
+
+    /**
+     * Reads a floating point number.
+     *
+     * @return the value
+     */
+    public double number() {
+        return read(mUnpacker::unpackDouble);
+    }
+
+    /**
+     * Reads a boolean.
+     *
+     * @return the value
+     */
+    public boolean bool() {
+        return read(mUnpacker::unpackBoolean);
+    }
+
+    /**
+     * Reads a text.
+     *
+     * @return the text
+     */
+    public String text() {
+        int length = read(mUnpacker::unpackRawStringHeader);
+        if (length > MAX_TEXT_BYTES || length > remainingBytes()) {
+            throw malformed("text of " + length + " bytes is too long");
+        }
+        return new String(
+                read(() -> mUnpacker.readPayload(length)), java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    /**
+     * Reads bytes.
+     *
+     * @return the bytes
+     */
+    public byte[] bytes() {
+        int length = read(mUnpacker::unpackBinaryHeader);
+        if (length > remainingBytes()) {
+            throw malformed("value of " + length + " bytes is longer than the input");
+        }
+        return read(() -> mUnpacker.readPayload(length));
+    }
+
+    /**
+     * Reads one of the constants of an enum by its position.
+     *
+     * @param values all constants
+     * @param <E> the enum
+     * @return the constant
+     */
+    public <E> E constant(E[] values) {
+        int ordinal = smallInteger();
+        if (ordinal < 0 || ordinal >= values.length) {
+            throw malformed("constant " + ordinal + " is unknown");
+        }
+        return values[ordinal];
+    }
+
+    /**
+     * Reads an instance id.
+     *
+     * @return the id
+     */
+    public InstanceId instance() {
+        return id(InstanceId.parse(text()));
+    }
+
+    /**
+     * Reads a failure domain id.
+     *
+     * @return the id
+     */
+    public FailureDomainId failureDomain() {
+        return id(FailureDomainId.parse(text()));
+    }
+
+    /**
+     * Reads a region id.
+     *
+     * @return the id
+     */
+    public RegionId region() {
+        return id(RegionId.parse(text()));
+    }
+
+    /**
+     * Reads a worker id.
+     *
+     * @return the id
+     */
+    public WorkerId worker() {
+        return id(WorkerId.parse(text()));
+    }
+
+    /**
+     * Reads an endpoint id.
+     *
+     * @return the id
+     */
+    public EndpointId endpoint() {
+        return id(EndpointId.parse(text()));
+    }
+
+    /**
+     * Reads a team id.
+     *
+     * @return the id
+     */
+    public TeamId team() {
+        return id(TeamId.parse(text()));
+    }
+
+    /**
+     * Reads a job id.
+     *
+     * @return the id
+     */
+    public JobId job() {
+        return id(JobId.parse(text()));
+    }
+
+    /**
+     * Reads a task id.
+     *
+     * @return the id
+     */
+    public TaskId task() {
+        JobId job = job();
+        int index = smallInteger();
+        if (index < 0) {
+            throw malformed("task index " + index + " is negative");
+        }
+        return new TaskId(job, index);
+    }
+
+    /**
+     * Reads resources.
+     *
+     * @return the amount
+     */
+    public Resources resources() {
+        return new Resources(integer(), integer(), smallInteger());
+    }
+
+    /** Checks that nothing follows. */
+    public void end() {
+        if (remainingBytes() != 0) {
+            throw malformed(remainingBytes() + " bytes follow the last value");
+        }
+    }
+
+    /**
+     * Creates the exception for a value that was read and is not acceptable.
+     *
+     * @param detail what is wrong
+     * @return the exception to throw
+     */
+    public MalformedInputException malformed(String detail) {
+        return new MalformedInputException(
+                detail + " at byte " + mUnpacker.getTotalReadBytes() + " of " + mBytes.length);
+    }
+
+    private long remainingBytes() {
+        return mBytes.length - mUnpacker.getTotalReadBytes();
+    }
+
+    private <T> T id(Either<MalformedId, T> parsed) {
+        return parsed.getOrElseThrow((HornbeamwardError problem) -> malformed(problem.message()));
+    }
+
+    private <T> T read(UnpackerStep<T> step) {
+        try {
+            return step.run();
+        } catch (IOException | MessagePackException e) {
+            throw malformed("unexpected value: " + e.getClass().getSimpleName());
+        }
+    }
+
+    private interface UnpackerStep<T> {
+        T run() throws IOException;
+    }
+}
--- a/org.hornbeamward/src/org/hornbeamward/lib/IdSyntax.java
+++ b/org.hornbeamward/src/org/hornbeamward/lib/IdSyntax.java
@@ -16,4 +16,10 @@
         }
         return Either.right(text);
     }
+
+    static void require(String kind, String text) {
+        if (!NAME.matcher(text).matches()) {
+            throw new IllegalArgumentException(new MalformedId(kind, text).message());
+        }
+    }
 }
--- a/org.hornbeamward/src/org/hornbeamward/lib/InstanceId.java
+++ b/org.hornbeamward/src/org/hornbeamward/lib/InstanceId.java
@@ -1,5 +1,7 @@
 package org.hornbeamward.lib;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
 import io.vavr.control.Either;
 import org.hornbeamward.errors.MalformedId;
 
@@ -8,7 +10,13 @@
  *
  * @param value 1 to 64 characters out of letters, digits, {@code .}, {@code _} and {@code -}
  */
-public record InstanceId(String value) implements Comparable<InstanceId> {
+public record InstanceId(@JsonValue String value) implements Comparable<InstanceId> {
+
+    /** Checks the syntax; a malformed value throws {@link IllegalArgumentException}. */
+    @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
+    public InstanceId {
+        IdSyntax.require("instance", value);
+    }
 
     /**
      * Parses a name.
--- a/org.hornbeamward/src/org/hornbeamward/state/SlotTable.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/SlotTable.java
@@ -55,7 +55,10 @@
         int used = sum(mHeld.getOrDefault(endpoint, Collections.emptySortedMap()).values());
         SortedMap<Long, Integer> released =
                 mReleasedByRemoval.getOrDefault(endpoint, Collections.emptySortedMap());
-        int unusable = sum(released.tailMap(waitedToken + 1).values());
+        int unusable = 0;
+        for (Map.Entry<Long, Integer> entry : released.entrySet()) {
+            unusable += entry.getKey() > waitedToken ? entry.getValue() : 0;
+        }
         return Math.max(0, slotCount - used - unusable);
     }
 
--- a/org.hornbeamward/src/org/hornbeamward/state/WorkTable.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/WorkTable.java
@@ -3,7 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Collections;
 import java.util.Deque;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -45,12 +45,15 @@
     /** A task that failed on this many workers has failed itself. */
     public static final int TASK_FAILURE_WORKER_COUNT = 3;
 
-    private static final int MAX_ENDED_JOBS = 20_000;
+    private static final int MAX_ENDED_JOBS = 2_000;
+
+    /** Names of ended jobs are kept longer than their tasks, so that no name is used twice. */
+    private static final int MAX_ENDED_JOB_IDS = 20_000;
 
     final SortedMap<WorkerId, WorkerStatus> mWorkers = new TreeMap<>();
     final SortedMap<JobId, JobStatus> mJobs = new TreeMap<>();
     final Deque<JobId> mEndedJobs = new ArrayDeque<>();
-    final Set<JobId> mEndedJobIds = new HashSet<>();
+    final Set<JobId> mEndedJobIds = new LinkedHashSet<>();
     final SortedSet<TaskId> mPending = new TreeSet<>();
     final SortedMap<TeamId, Resources> mUsedByTeam = new TreeMap<>();
 
@@ -379,9 +382,10 @@
         mEndedJobs.addLast(job.mSpec.id());
         mEndedJobIds.add(job.mSpec.id());
         if (mEndedJobs.size() > MAX_ENDED_JOBS) {
-            JobId oldest = mEndedJobs.removeFirst();
-            mEndedJobIds.remove(oldest);
-            mJobs.remove(oldest);
+            mJobs.remove(mEndedJobs.removeFirst());
+        }
+        if (mEndedJobIds.size() > MAX_ENDED_JOB_IDS) {
+            mEndedJobIds.remove(mEndedJobIds.iterator().next());
         }
     }
 
