Add the property of safe takeover between members

Cause: the argument that a removed member is inactive before its successor acts had no test. Change: four members over a shared log with cut links, cut logs, pauses and log outages (seed 31, 600 tries) and three plain cases.

--- /dev/null
+++ b/org.hornbeamward.test/tst/org/hornbeamward/member/MembershipPropertyTest.java
@@ -0,0 +1,87 @@
+package org.hornbeamward.member;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Guards the takeover rule: when a successor may use what a removed member held, that member no
+ * longer acts, whatever was cut, paused or delayed.
+ */
+class MembershipPropertyTest {
+
+    /** One disturbance that lasts for some ticks of 250 ms. */
+    record Disturbance(Kind kind, int member, int other, int startTick, int tickCount) {}
+
+    enum Kind {
+        CUT_LINK,
+        CUT_LOG,
+        PAUSE,
+        LOG_DOWN
+    }
+
+    @Provide
+    Arbitrary<List<Disturbance>> disturbances() {
+        return Combinators.combine(
+                        Arbitraries.of(Kind.values()),
+                        Arbitraries.integers().between(0, 3),
+                        Arbitraries.integers().between(0, 3),
+                        Arbitraries.integers().between(0, 60),
+                        Arbitraries.integers().between(1, 80))
+                .as(Disturbance::new)
+                .list()
+                .ofMaxSize(8);
+    }
+
+    @Property(seed = "31", tries = 600)
+    void aRemovedMemberIsInactiveWhenItsSuccessorMayAct(
+            @ForAll("disturbances") List<Disturbance> disturbances) {
+        MemberGroup group = new MemberGroup(4);
+        for (int tick = 0; tick < 160; tick++) {
+            group.tick(tick, disturbances);
+            group.assertNoTakeoverWhileActive();
+        }
+    }
+
+    @Test
+    void aDeadMemberIsRemovedByTheOthers() {
+        MemberGroup group = new MemberGroup(4);
+        List<Disturbance> death = List.of(new Disturbance(Kind.PAUSE, 2, 2, 10, 1_000));
+        for (int tick = 0; tick < 60; tick++) {
+            group.tick(tick, death);
+        }
+        assertFalse(group.isMember(2));
+        assertTrue(group.isActive(0));
+    }
+
+    @Test
+    void membersThatHearOneAnotherStayActiveWhileTheLogIsDown() {
+        MemberGroup group = new MemberGroup(4);
+        List<Disturbance> outage = List.of(new Disturbance(Kind.LOG_DOWN, 0, 0, 10, 1_000));
+        for (int tick = 0; tick < 200; tick++) {
+            group.tick(tick, outage);
+        }
+        for (int member = 0; member < 4; member++) {
+            assertTrue(group.isActive(member));
+        }
+    }
+
+    @Test
+    void oneCutLinkRemovesNobody() {
+        MemberGroup group = new MemberGroup(4);
+        List<Disturbance> cut = List.of(new Disturbance(Kind.CUT_LINK, 0, 1, 10, 1_000));
+        for (int tick = 0; tick < 200; tick++) {
+            group.tick(tick, cut);
+        }
+        assertTrue(group.isMember(0));
+        assertTrue(group.isMember(1));
+    }
+}
