--- /dev/null
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/events/package-info.java
@@ -0,0 +1,5 @@
+/** Records and faults shared by the stand-ins. */
+@NullMarked
+package org.hornbeamward.standin.events;
+
+import org.jspecify.annotations.NullMarked;
--- a/org.hornbeamward.storage/src/org/hornbeamward/storage/log/ReadAnswerCodec.java
+++ b/org.hornbeamward.storage/src/org/hornbeamward/storage/log/ReadAnswerCodec.java
@@ -60,6 +60,9 @@
             if (earliest < 0 || end < earliest) {
                 return Either.left("earliest " + earliest + " and end " + end + " are no bounds");
             }
+            if (end < fromOffset) {
+                return Either.left("end " + end + " is before the offset asked for");
+            }
             return records(unpacker, body.length, fromOffset, end)
                     .map(records -> new LogRead(earliest, end, records))
                     .filterOrElse(
