--- /dev/null
+++ b/org.hornbeamward.storage/src/org/hornbeamward/storage/list/InstanceKind.java
@@ -0,0 +1,26 @@
+package org.hornbeamward.storage.list;
+
+/** What an instance runs. */
+public enum InstanceKind {
+    /** An entry instance of the system. */
+    ENTRY("entry"),
+    /** An endpoint that answers requests. */
+    ENDPOINT("endpoint"),
+    /** A worker that runs tasks. */
+    WORKER("worker");
+
+    private final String mJsonName;
+
+    InstanceKind(String jsonName) {
+        mJsonName = jsonName;
+    }
+
+    /**
+     * Returns the name in the list's JSON.
+     *
+     * @return the name in lower case
+     */
+    public String jsonName() {
+        return mJsonName;
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.storage/src/org/hornbeamward/storage/list/InstanceListPoller.java
@@ -0,0 +1,216 @@
+package org.hornbeamward.storage.list;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.vavr.control.Either;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.Consumer;
+import org.hornbeamward.errors.HornbeamwardError;
+import org.hornbeamward.errors.InvalidSetting;
+import org.hornbeamward.errors.PeerUnreachable;
+import org.hornbeamward.errors.VersionConflict;
+import org.hornbeamward.event.LogEvent;
+import org.hornbeamward.kernel.Duty;
+import org.hornbeamward.lib.MonotonicClock;
+import org.hornbeamward.storage.internal.HttpAnswer;
+import org.hornbeamward.storage.internal.LimitedHttpClient;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Polls the platform's list. A list that is empty, malformed or older than one seen before is
+ * ignored and reported; the last good one stays in use. The request carries the entity tag of the
+ * last good list, so that a service which supports it can answer 304 without a body.
+ */
+public final class InstanceListPoller implements Duty, AutoCloseable {
+    private static final int MAX_LIST_BYTES = 4 * 1024 * 1024;
+    private static final long MAX_PARK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+
+    private final LimitedHttpClient mHttp;
+    private final long mPollNanos;
+    private final long mTimeoutMillis;
+    private final Consumer<? super InstanceList> mOnChange;
+    private final MonotonicClock mClock;
+    private final AtomicLong mIgnoredCount = new AtomicLong();
+    private volatile @Nullable Accepted mAccepted;
+    private volatile @Nullable HornbeamwardError mLastProblem;
+
+    private long mNextPollNanos;
+    private boolean mPolledBefore;
+    private long mSentNanos;
+    private String mReported = "";
+    private @Nullable CompletableFuture<Either<HornbeamwardError, HttpAnswer>> mAnswer;
+
+    private record Accepted(InstanceList list, long sentNanos, @Nullable String entityTag) {}
+
+    /**
+     * Creates a poller.
+     *
+     * @param host host name or address of the list service
+     * @param port its port
+     * @param pollMillis time between the starts of two requests
+     * @param timeoutMillis longest time for one request
+     * @param onChange called by the poller's thread with each list that differs from the last
+     * @param clock the monotonic clock
+     */
+    public InstanceListPoller(
+            String host,
+            int port,
+            long pollMillis,
+            long timeoutMillis,
+            Consumer<? super InstanceList> onChange,
+            MonotonicClock clock) {
+        mHttp = new LimitedHttpClient("list-client", host, port, timeoutMillis);
+        mPollNanos = TimeUnit.MILLISECONDS.toNanos(pollMillis);
+        mTimeoutMillis = timeoutMillis;
+        mOnChange = onChange;
+        mClock = clock;
+    }
+
+    /**
+     * Returns the last good list. May be called by any thread.
+     *
+     * @return the list, or empty before the first one
+     */
+    public Optional<InstanceList> current() {
+        return Optional.ofNullable(mAccepted).map(Accepted::list);
+    }
+
+    /**
+     * Returns the age of the last good list. May be called by any thread.
+     *
+     * @return nanoseconds since the request for it was sent, or empty before the first list
+     */
+    public OptionalLong ageNanos() {
+        Accepted accepted = mAccepted;
+        return accepted == null
+                ? OptionalLong.empty()
+                : OptionalLong.of(mClock.nowNanos() - accepted.sentNanos());
+    }
+
+    /**
+     * Returns why the last poll gave no list. May be called by any thread.
+     *
+     * @return the reason, or empty if the last poll gave a good list
+     */
+    public Optional<HornbeamwardError> lastProblem() {
+        return Optional.ofNullable(mLastProblem);
+    }
+
+    /**
+     * Returns how many polls gave no usable list. May be called by any thread.
+     *
+     * @return their number
+     */
+    public long ignoredCount() {
+        return mIgnoredCount.get();
+    }
+
+    @Override
+    public String name() {
+        return "list-poller";
+    }
+
+    @Override
+    public void runOnce() throws InterruptedException {
+        if (Thread.interrupted()) {
+            throw new InterruptedException();
+        }
+        CompletableFuture<Either<HornbeamwardError, HttpAnswer>> answer = mAnswer;
+        if (answer != null) {
+            awaitAnswer(answer);
+            return;
+        }
+        long nowNanos = mClock.nowNanos();
+        if (mPolledBefore && mNextPollNanos - nowNanos > 0) {
+            LockSupport.parkNanos(this, Math.min(mNextPollNanos - nowNanos, MAX_PARK_NANOS));
+            return;
+        }
+        mPolledBefore = true;
+        mSentNanos = nowNanos;
+        mNextPollNanos = nowNanos + mPollNanos;
+        Accepted accepted = mAccepted;
+        Map<String, String> headers =
+                accepted == null || accepted.entityTag() == null
+                        ? Map.of()
+                        : Map.of("If-None-Match", accepted.entityTag());
+        mAnswer = mHttp.get("/instances", headers, mTimeoutMillis, MAX_LIST_BYTES);
+    }
+
+    private void awaitAnswer(CompletableFuture<Either<HornbeamwardError, HttpAnswer>> answer) {
+        if (!answer.isDone()) {
+            LockSupport.parkNanos(this, MAX_PARK_NANOS);
+            return;
+        }
+        mAnswer = null;
+        answer.exceptionally(failure -> Either.left(unreachable(failure.toString())))
+                .join()
+                .flatMap(this::check)
+                .peek(this::accept)
+                .peekLeft(this::ignore);
+    }
+
+    private Either<HornbeamwardError, Accepted> check(HttpAnswer answer) {
+        Accepted last = mAccepted;
+        if (answer.status() == 304 && last != null) {
+            return Either.right(new Accepted(last.list(), mSentNanos, last.entityTag()));
+        }
+        if (answer.status() != 200) {
+            return Either.left(unreachable("status " + answer.status()));
+        }
+        String entityTag = answer.headers().get(HttpHeaderNames.ETAG);
+        return InstanceListCodec.decode(answer.body())
+                .<HornbeamwardError>mapLeft(problems -> problems)
+                .flatMap(InstanceListPoller::refuseEmpty)
+                .flatMap(list -> refuseOlder(list, last))
+                .map(list -> new Accepted(list, mSentNanos, entityTag));
+    }
+
+    private static Either<HornbeamwardError, InstanceList> refuseEmpty(InstanceList list) {
+        return list.entries().isEmpty()
+                ? Either.left(new InvalidSetting("instances", "expected at least one instance"))
+                : Either.right(list);
+    }
+
+    private static Either<HornbeamwardError, InstanceList> refuseOlder(
+            InstanceList list, @Nullable Accepted last) {
+        return last != null && list.version() < last.list().version()
+                ? Either.left(
+                        new VersionConflict("instance list", list.version(), last.list().version()))
+                : Either.right(list);
+    }
+
+    private HornbeamwardError unreachable(String detail) {
+        return new PeerUnreachable(mHttp.address(), "instance list: " + detail);
+    }
+
+    private void accept(Accepted accepted) {
+        Accepted last = mAccepted;
+        mAccepted = accepted;
+        mLastProblem = null;
+        mReported = "";
+        if (last == null || !last.list().equals(accepted.list())) {
+            mOnChange.accept(accepted.list());
+        }
+    }
+
+    private void ignore(HornbeamwardError error) {
+        mLastProblem = error;
+        mIgnoredCount.incrementAndGet();
+        // The same problem in each poll is reported once.
+        if (!mReported.equals(error.message())) {
+            mReported = error.message();
+            LogEvent.LIST_IGNORED.log(error.message());
+        }
+    }
+
+    /** Closes the connection; the duty must have been stopped before. */
+    @Override
+    public void close() {
+        mHttp.close();
+    }
+}
--- a/org.hornbeamward/src/org/hornbeamward/errors/HornbeamwardError.java
+++ b/org.hornbeamward/src/org/hornbeamward/errors/HornbeamwardError.java
@@ -9,6 +9,7 @@
                 LogUnavailable,
                 MalformedId,
                 MalformedRecord,
+                NoUsableSnapshot,
                 OversizedInput,
                 PeerUnreachable,
                 RequestNotRun,
