--- /dev/null
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/RunningTask.java
@@ -0,0 +1,13 @@
+package org.hornbeamward.transport.message;
+
+import org.hornbeamward.lib.TaskId;
+
+/**
+ * A placement that a worker knows and that has not ended.
+ *
+ * @param task the task
+ * @param token token of its placement
+ * @param stopping true if it was told to stop
+ * @param checkpoint last checkpoint, 0 if none
+ */
+public record RunningTask(TaskId task, long token, boolean stopping, long checkpoint) {}
--- /dev/null
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/StartTask.java
@@ -0,0 +1,32 @@
+package org.hornbeamward.transport.message;
+
+import org.hornbeamward.command.JobKind;
+import org.hornbeamward.lib.Resources;
+import org.hornbeamward.lib.TaskId;
+
+/**
+ * Starts a placed task. Refused if the epoch, the incarnation, the token or the ticket is too old.
+ *
+ * @param epoch membership epoch of the sender
+ * @param incarnation incarnation of the worker that the task is placed on
+ * @param task the task
+ * @param token token of its placement
+ * @param ticketMillis start ticket
+ * @param resources declared need
+ * @param checkpoint checkpoint to resume from, 0 for none
+ * @param className class of work
+ * @param kind service or batch
+ * @param expectedRunMillis declared run time of a batch task, 0 if unknown
+ */
+public record StartTask(
+        long epoch,
+        long incarnation,
+        TaskId task,
+        long token,
+        long ticketMillis,
+        Resources resources,
+        long checkpoint,
+        String className,
+        JobKind kind,
+        long expectedRunMillis)
+        implements WorkerMessage {}
