Add roles and the supervisor of workers

Cause: placed tasks need a process that grants leases, starts and stops them as the state says and reports their ends. Change: Roles computes decider and supervisor from the members. WorkerSupervisor is deterministic logic over the state, worker messages and log reads. A worker is declared lost only when every other member has left or is known to have read the epoch that made this instance the supervisor, since an earlier supervisor that lags behind the log would otherwise renew the lease of tasks that are placed elsewhere.

--- /dev/null
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/SupervisorView.java
@@ -0,0 +1,50 @@
+package org.hornbeamward.schedule.worker;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hornbeamward.command.Command;
+import org.hornbeamward.lib.FencingToken;
+import org.hornbeamward.lib.WorkerId;
+import org.hornbeamward.state.ClusterState;
+import org.hornbeamward.transport.message.WorkerMessage;
+import org.jspecify.annotations.Nullable;
+
+/** The replicated state as read so far, and the output that is being collected. */
+final class SupervisorView {
+    private final List<OutgoingMessage> mMessages = new ArrayList<>();
+    private final List<Command> mCommands = new ArrayList<>();
+    ClusterState mState = new ClusterState();
+
+    /** Start of the newest log read that reached the end; null before the first. */
+    @Nullable Long mLogReadStartedNanos;
+
+    long epoch() {
+        return mState.members().epoch();
+    }
+
+    /** Tells whether the state covers the command with this token. */
+    boolean covers(long token) {
+        return token < FencingToken.of(mState.nextOffset(), 0);
+    }
+
+    /** Commands based on an old state would pile up while the log is down. */
+    boolean logFresh(long nowNanos) {
+        Long started = mLogReadStartedNanos;
+        return started != null && nowNanos - started < SupervisorPeriods.FRESH_LOG_NANOS;
+    }
+
+    void send(WorkerId worker, WorkerMessage message) {
+        mMessages.add(new OutgoingMessage(worker, message));
+    }
+
+    void append(Command command) {
+        mCommands.add(command);
+    }
+
+    SupervisorOutput takeOutput() {
+        SupervisorOutput output = new SupervisorOutput(mMessages, mCommands);
+        mMessages.clear();
+        mCommands.clear();
+        return output;
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/WorkerSupervisor.java
@@ -0,0 +1,487 @@
+package org.hornbeamward.schedule.worker;
+
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.hornbeamward.command.CancelJob;
+import org.hornbeamward.command.Command;
+import org.hornbeamward.command.LoseWorker;
+import org.hornbeamward.command.PlaceTask;
+import org.hornbeamward.command.RegisterWorker;
+import org.hornbeamward.command.StopTask;
+import org.hornbeamward.event.LogEvent;
+import org.hornbeamward.lib.FencingToken;
+import org.hornbeamward.lib.InstanceId;
+import org.hornbeamward.lib.TaskId;
+import org.hornbeamward.lib.WorkerId;
+import org.hornbeamward.member.Roles;
+import org.hornbeamward.state.ClusterState;
+import org.hornbeamward.state.CommandResult;
+import org.hornbeamward.state.Member;
+import org.hornbeamward.state.TaskState;
+import org.hornbeamward.transport.message.EndedTask;
+import org.hornbeamward.transport.message.Heartbeat;
+import org.hornbeamward.transport.message.HeartbeatAck;
+import org.hornbeamward.transport.message.Hello;
+import org.hornbeamward.transport.message.Refusal;
+import org.hornbeamward.transport.message.RefusalReason;
+import org.hornbeamward.transport.message.RunningTask;
+import org.hornbeamward.transport.message.TaskReport;
+import org.hornbeamward.transport.message.ThrottleTask;
+import org.hornbeamward.transport.message.UsageReport;
+import org.hornbeamward.transport.message.WorkerMessage;
+import org.hornbeamward.transport.message.WorkerStatus;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Supervises the workers that the replicated state assigns to this instance: grants leases, starts
+ * and stops tasks as placed in the state, reports what became of them, and declares workers lost.
+ * Deterministic, without I/O and threads; confined to the control duty. All times are readings of
+ * this process's monotonic clock.
+ *
+ * <p>The caller applies the log, keeps a link to each worker in {@link #wantedLinks()}, passes on
+ * what happens there, and carries out what {@link #tick} returns.
+ */
+public final class WorkerSupervisor {
+    private final InstanceId mOwn;
+    private final SupervisorView mView = new SupervisorView();
+    private final LossRule mLossRule;
+    private final UsageBook mUsage = new UsageBook();
+    private final SortedMap<WorkerId, WorkerSession> mSessions = new TreeMap<>();
+    private final Map<InstanceId, Long> mKnownMembers = new HashMap<>();
+    private SortedMap<WorkerId, String> mAddresses = Collections.emptySortedMap();
+    private boolean mRolesDirty = true;
+    private long mKnownEpoch = -1;
+    private @Nullable Long mSweepNanos;
+
+    /**
+     * Creates a supervisor without workers.
+     *
+     * @param own this instance
+     */
+    public WorkerSupervisor(InstanceId own) {
+        mOwn = own;
+        mLossRule = new LossRule(own, mView);
+    }
+
+    /**
+     * Takes the state after a record was applied, or after a snapshot was loaded. To be called
+     * after every record, since the time when a removal was read counts.
+     *
+     * @param state the state, read again in later calls
+     * @param results results of the record; empty after a snapshot
+     * @param nowNanos current time
+     */
+    public void onState(ClusterState state, List<CommandResult> results, long nowNanos) {
+        mView.mState = state;
+        if (results.isEmpty()) {
+            mRolesDirty = true;
+            mSessions.values().forEach(session -> session.mDirty = true);
+        }
+        results.stream()
+                .filter(CommandResult::accepted)
+                .forEach(result -> markDirty(result.command()));
+        if (state.members().epoch() != mKnownEpoch) {
+            onEpoch(nowNanos);
+        }
+        if (mRolesDirty) {
+            updateRoles(nowNanos);
+        }
+    }
+
+    /**
+     * Tells that a log read reached the end of the log and everything read was applied.
+     *
+     * @param readStartedNanos when the read was sent
+     */
+    public void onLogEnd(long readStartedNanos) {
+        Long known = mView.mLogReadStartedNanos;
+        if (known == null || readStartedNanos - known > 0) {
+            mView.mLogReadStartedNanos = readStartedNanos;
+        }
+    }
+
+    /**
+     * Takes the addresses of workers as known from the platform's list.
+     *
+     * @param addresses worker to host:port; wins over the address in a registration
+     * @param nowNanos current time
+     */
+    public void onAddresses(SortedMap<WorkerId, String> addresses, long nowNanos) {
+        if (!mAddresses.equals(addresses)) {
+            mAddresses = new TreeMap<>(addresses);
+            updateRoles(nowNanos);
+        }
+    }
+
+    /**
+     * Tells how far another member has read the log. A worker can be declared lost only after every
+     * other member is known to have read that this instance supervises it.
+     *
+     * @param peer the member
+     * @param logOffset next offset that it will read, from its ping or pong
+     * @param nowNanos time at which the message was received
+     */
+    public void onPeerOffset(InstanceId peer, long logOffset, long nowNanos) {
+        for (WorkerSession session : mSessions.values()) {
+            if (FencingToken.of(logOffset, 0) > session.mSinceEpoch) {
+                session.mSeenNanos.putIfAbsent(peer, nowNanos);
+            }
+        }
+    }
+
+    /**
+     * Tells that the link to a worker was made.
+     *
+     * @param worker the worker
+     * @param nowNanos current time
+     */
+    public void onLinkOpen(WorkerId worker, long nowNanos) {
+        WorkerSession session = mSessions.get(worker);
+        if (session != null) {
+            session.onLinkLost();
+            session.mLinkUp = true;
+            session.mHeardNanos = nowNanos;
+        }
+    }
+
+    /**
+     * Tells that the link to a worker has ended.
+     *
+     * @param worker the worker
+     */
+    public void onLinkLost(WorkerId worker) {
+        WorkerSession session = mSessions.get(worker);
+        if (session != null) {
+            session.onLinkLost();
+        }
+    }
+
+    /**
+     * Takes a message from a worker. Messages of one link must be passed on in order, and none of
+     * an ended link after {@link #onLinkLost}.
+     *
+     * @param worker the worker that the link belongs to
+     * @param message the message
+     * @param nowNanos time at which it was received
+     */
+    public void onMessage(WorkerId worker, WorkerMessage message, long nowNanos) {
+        WorkerSession session = mSessions.get(worker);
+        if (session == null || !session.mLinkUp) {
+            return;
+        }
+        session.mHeardNanos = nowNanos;
+        session.mDirty = true;
+        switch (message) {
+            case WorkerStatus status -> {
+                if (status.worker().equals(worker)) {
+                    session.onStatus(status, nowNanos);
+                }
+            }
+            case HeartbeatAck ack -> onAck(session, ack, nowNanos);
+            case TaskReport report -> onReport(session, report);
+            case Refusal refusal -> onRefusal(session, refusal);
+            default -> {}
+        }
+    }
+
+    /**
+     * Does what is due. To be called every 50 ms or so and after other calls.
+     *
+     * @param nowNanos current time
+     * @param active whether this instance may act as a member; nothing is done while it may not
+     * @return messages and commands
+     */
+    public SupervisorOutput tick(long nowNanos, boolean active) {
+        boolean member = mView.mState.members().all().containsKey(mOwn);
+        if (!active || !member) {
+            mView.takeOutput();
+        } else {
+            boolean sweep = TaskContact.due(mSweepNanos, SupervisorPeriods.SWEEP_NANOS, nowNanos);
+            if (sweep) {
+                mSweepNanos = nowNanos;
+            }
+            for (WorkerSession session : mSessions.values()) {
+                if (sweep || session.mDirty || session.mWantsTicket) {
+                    session.mDirty = false;
+                    drive(session, nowNanos);
+                }
+            }
+        }
+        return mView.takeOutput();
+    }
+
+    /**
+     * Returns the workers to keep a link to.
+     *
+     * @return worker to host:port
+     */
+    public SortedMap<WorkerId, String> wantedLinks() {
+        SortedMap<WorkerId, String> links = new TreeMap<>();
+        mSessions.forEach((worker, session) -> links.put(worker, session.mAddress));
+        return links;
+    }
+
+    /**
+     * Returns the usage samples that came since the last call, for the policy and the decider.
+     *
+     * @param nowNanos current time
+     * @return samples by worker; empty if there are none
+     */
+    public UsageReport takeUsage(long nowNanos) {
+        return mUsage.takeChanged(nowNanos);
+    }
+
+    /**
+     * Limits the processors of a running task. Has no effect unless this instance supervises the
+     * worker; given out by the next {@link #tick}.
+     *
+     * @param worker the worker
+     * @param token token of the task's placement
+     * @param levelPercent share of the declared processors, 1 to 100
+     */
+    public void throttle(WorkerId worker, long token, int levelPercent) {
+        WorkerSession session = mSessions.get(worker);
+        if (session != null && session.mRunning.containsKey(token)) {
+            mView.send(worker, new ThrottleTask(mView.epoch(), token, levelPercent));
+        }
+    }
+
+    private void markDirty(Command command) {
+        switch (command) {
+            case PlaceTask place -> markDirty(place.worker());
+            case StopTask stop -> markDirtyWorkerOf(stop.task());
+            case CancelJob cancel -> mSessions.values().forEach(session -> session.mDirty = true);
+            case RegisterWorker register -> mRolesDirty = true;
+            case LoseWorker lose -> onLost(lose.worker());
+            default -> {}
+        }
+    }
+
+    private void onLost(WorkerId worker) {
+        mRolesDirty = true;
+        WorkerSession session = mSessions.get(worker);
+        if (session != null) {
+            session.clearLoss();
+            session.mRegisterNanos = null;
+        }
+    }
+
+    private void markDirtyWorkerOf(TaskId task) {
+        mView.mState
+                .work()
+                .task(task)
+                .ifPresent(
+                        status -> {
+                            if (status.state() instanceof TaskState.Stopping stopping) {
+                                markDirty(stopping.worker());
+                            }
+                        });
+    }
+
+    private void markDirty(WorkerId worker) {
+        WorkerSession session = mSessions.get(worker);
+        if (session != null) {
+            session.mDirty = true;
+        }
+    }
+
+    private void onEpoch(long nowNanos) {
+        mKnownEpoch = mView.epoch();
+        mRolesDirty = true;
+        Map<InstanceId, Member> members = new HashMap<>(mView.mState.members().all());
+        mKnownMembers.forEach(
+                (instance, joinToken) -> {
+                    Member member = members.get(instance);
+                    if (member == null || member.joinToken() != joinToken) {
+                        mSessions.values().forEach(s -> s.onRemoved(instance, nowNanos));
+                    }
+                });
+        mKnownMembers.clear();
+        members.forEach((id, member) -> mKnownMembers.put(id, member.joinToken()));
+    }
+
+    private void updateRoles(long nowNanos) {
+        mRolesDirty = false;
+        SortedMap<WorkerId, String> wanted = new TreeMap<>();
+        var members = mView.mState.members().all().values();
+        var workers = mView.mState.work().workers();
+        workers.forEach(
+                (id, worker) -> {
+                    if (Roles.supervisorOf(worker.registration(), members)
+                            .filter(mOwn::equals)
+                            .isPresent()) {
+                        String address = worker.registration().address();
+                        wanted.put(id, mAddresses.getOrDefault(id, address));
+                    }
+                });
+        mAddresses.forEach(
+                (id, address) -> {
+                    if (!workers.containsKey(id)
+                            && Roles.finderOf(id, members).filter(mOwn::equals).isPresent()) {
+                        wanted.put(id, address);
+                    }
+                });
+        mSessions.keySet().removeIf(id -> !wanted.containsKey(id));
+        wanted.forEach(
+                (id, address) -> {
+                    WorkerSession session =
+                            mSessions.computeIfAbsent(
+                                    id,
+                                    key -> new WorkerSession(key, address, mKnownEpoch, nowNanos));
+                    session.mAddress = address;
+                    session.mDirty = true;
+                });
+    }
+
+    private void onAck(WorkerSession session, HeartbeatAck ack, long nowNanos) {
+        WorkerStatus status = session.mStatus;
+        if (status == null || status.incarnation() != ack.incarnation()) {
+            return;
+        }
+        session.mTickets.add(ack.ticketMillis(), nowNanos);
+        session.mEnded.clear();
+        ack.endedTasks().forEach(session::onEnded);
+        mUsage.add(session.mWorker, ack.changedUsage(), nowNanos);
+        mUsage.retain(session.mWorker, session.mRunning.keySet());
+    }
+
+    private void onReport(WorkerSession session, TaskReport report) {
+        TaskId task = taskOf(session, report.token());
+        if (task == null) {
+            session.mWantsStatus = true;
+            return;
+        }
+        if (report.outcome() != null) {
+            session.onEnded(
+                    new EndedTask(task, report.token(), report.outcome(), report.checkpoint()));
+            return;
+        }
+        if (session.mEnded.containsKey(report.token())) {
+            return;
+        }
+        RunningTask known = session.mRunning.get(report.token());
+        session.mRunning.put(
+                report.token(),
+                new RunningTask(
+                        task,
+                        report.token(),
+                        known != null && known.stopping(),
+                        Math.max(known == null ? 0 : known.checkpoint(), report.checkpoint())));
+    }
+
+    private @Nullable TaskId taskOf(WorkerSession session, long token) {
+        RunningTask running = session.mRunning.get(token);
+        if (running != null) {
+            return running.task();
+        }
+        var worker = mView.mState.work().workers().get(session.mWorker);
+        if (worker == null) {
+            return null;
+        }
+        return worker.tasks().entrySet().stream()
+                .filter(entry -> entry.getValue() == token)
+                .map(Map.Entry::getKey)
+                .findFirst()
+                .orElse(null);
+    }
+
+    private void onRefusal(WorkerSession session, Refusal refusal) {
+        LogEvent.WORKER_REFUSED.log(session.mWorker, refusal.token(), refusal.reason());
+        if (refusal.reason() == RefusalReason.OLD_EPOCH) {
+            session.mRefusedEpoch = Math.max(session.mRefusedEpoch, refusal.epoch());
+        } else if (refusal.reason() == RefusalReason.OLD_TOKEN) {
+            session.contact(refusal.token()).mRefusedAfterStatus = session.mStatusCount;
+        } else if (refusal.reason() == RefusalReason.OTHER_INCARNATION) {
+            session.mStatus = null;
+        }
+    }
+
+    private void drive(WorkerSession session, long nowNanos) {
+        if (session.mRefusedEpoch > mView.epoch()) {
+            // A newer supervisor exists; the log will show it.
+            return;
+        }
+        sayHello(session, nowNanos);
+        var worker = mView.mState.work().workers().get(session.mWorker);
+        WorkerStatus status = session.mStatus;
+        boolean same =
+                worker != null
+                        && status != null
+                        && worker.registration().incarnation() == status.incarnation();
+        if (status != null && !same) {
+            register(session, status, nowNanos);
+            return;
+        }
+        if (worker == null) {
+            return;
+        }
+        mLossRule.apply(session, worker.registration().incarnation(), nowNanos);
+        if (status == null || session.mLosingIncarnation != null) {
+            return;
+        }
+        if (session.reachable(nowNanos)) {
+            // A start without a lease would be refused.
+            sendHeartbeat(session, worker, status, nowNanos);
+            new TaskReconciler(mView, session, worker, hello(), nowNanos).run();
+        }
+    }
+
+    private Hello hello() {
+        return new Hello(mView.epoch(), mOwn);
+    }
+
+    private void sayHello(WorkerSession session, long nowNanos) {
+        boolean wanted = session.mWantsStatus || !session.reachable(nowNanos);
+        if (session.mLinkUp
+                && wanted
+                && TaskContact.due(session.mHelloNanos, SupervisorPeriods.HELLO_NANOS, nowNanos)) {
+            session.mHelloNanos = nowNanos;
+            mView.send(session.mWorker, hello());
+        }
+    }
+
+    private void register(WorkerSession session, WorkerStatus status, long nowNanos) {
+        if (mView.logFresh(nowNanos)
+                && TaskContact.due(
+                        session.mRegisterNanos, SupervisorPeriods.COMMAND_REPEAT_NANOS, nowNanos)) {
+            session.mRegisterNanos = nowNanos;
+            mView.append(
+                    new RegisterWorker(
+                            status.worker(),
+                            status.incarnation(),
+                            status.failureDomain(),
+                            status.region(),
+                            status.rack(),
+                            status.capacity(),
+                            session.mAddress));
+        }
+    }
+
+    private void sendHeartbeat(
+            WorkerSession session,
+            org.hornbeamward.state.WorkerStatus worker,
+            WorkerStatus status,
+            long nowNanos) {
+        long periodNanos =
+                session.mWantsTicket
+                        ? SupervisorPeriods.TICKET_REQUEST_NANOS
+                        : SupervisorPeriods.HEARTBEAT_NANOS;
+        OptionalLong ticket = session.mTickets.newest();
+        if (ticket.isEmpty() || !TaskContact.due(session.mHeartbeatNanos, periodNanos, nowNanos)) {
+            return;
+        }
+        session.mHeartbeatNanos = nowNanos;
+        mView.send(
+                session.mWorker,
+                new Heartbeat(
+                        mView.epoch(),
+                        status.incarnation(),
+                        ticket.getAsLong(),
+                        TaskReconciler.acknowledgeable(mView, session, worker)));
+    }
+}
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/message/RefusalReason.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/RefusalReason.java
@@ -10,6 +10,6 @@
     OLD_TOKEN,
     /** The start ticket is too old. */
     OLD_TICKET,
-    /** The worker has no lease or too few free resources. */
-    NO_ROOM
+    /** The worker has no lease. */
+    NO_LEASE
 }
--- a/org.hornbeamward/src/org/hornbeamward/member/package-info.java
+++ b/org.hornbeamward/src/org/hornbeamward/member/package-info.java
@@ -1,4 +1,4 @@
-/** Membership decisions: suspicion, promises and activity. */
+/** Membership decisions: suspicion, promises, activity and roles. */
 @NullMarked
 package org.hornbeamward.member;
 
