--- /dev/null
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/package-info.java
@@ -0,0 +1,5 @@
+/** The HTTP front: routes callers' requests to endpoints. */
+@NullMarked
+package org.hornbeamward.route.front;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/retry/package-info.java
@@ -0,0 +1,5 @@
+/** Retry budget, endpoint choice, ejection and load shedding. */
+@NullMarked
+package org.hornbeamward.route.retry;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/slot/SlotPlanner.java
@@ -0,0 +1,222 @@
+package org.hornbeamward.route.slot;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.hornbeamward.command.ChangeSlots;
+import org.hornbeamward.config.Configuration;
+import org.hornbeamward.config.EndpointConfig;
+import org.hornbeamward.config.ServiceConfig;
+import org.hornbeamward.lib.EndpointId;
+import org.hornbeamward.lib.InstanceId;
+import org.hornbeamward.state.ClusterState;
+import org.hornbeamward.state.Member;
+
+/**
+ * Decides which slots this member takes and gives back. Each service's slots are divided by the
+ * published demand of the members. Confined to the control duty's thread; the result depends on its
+ * arguments and on when removals were read.
+ */
+public final class SlotPlanner {
+    /** Slots that each member keeps without demand, so that its first requests need not wait. */
+    private static final int FLOOR_COUNT = 2;
+
+    /** A member keeps this share above its target, so that small changes move no slots. */
+    private static final double KEEP_SHARE = 0.05;
+
+    private final InstanceId mOwn;
+    private final RemovalWaits mWaits = new RemovalWaits();
+
+    /**
+     * Creates a planner.
+     *
+     * @param own this member
+     */
+    public SlotPlanner(InstanceId own) {
+        mOwn = own;
+    }
+
+    /**
+     * Plans the next change.
+     *
+     * @param state the replicated state
+     * @param use this member's slots
+     * @param leaving endpoints that get no new requests
+     * @param nowNanos monotonic time
+     * @return a command to pass to {@link SlotUse#begin}, or empty if nothing is to be changed or
+     *     an earlier change is outstanding
+     */
+    public Optional<ChangeSlots> plan(
+            ClusterState state, SlotUse use, Set<EndpointId> leaving, long nowNanos) {
+        Configuration configuration = state.config().configuration();
+        long waitedToken =
+                mWaits.observe(
+                        state.slots().newestRemovalToken(),
+                        longestRequestMillis(configuration),
+                        nowNanos);
+        if (use.isOutstanding() || !state.members().all().containsKey(mOwn)) {
+            return Optional.empty();
+        }
+        SortedMap<EndpointId, Integer> changes = new TreeMap<>();
+        giveBackUnusable(state, use, leaving, changes);
+        for (String service : configuration.services().keySet()) {
+            planService(service, state, use, leaving, waitedToken, changes);
+        }
+        return changes.isEmpty()
+                ? Optional.empty()
+                : Optional.of(new ChangeSlots(changes, waitedToken));
+    }
+
+    private static long longestRequestMillis(Configuration configuration) {
+        return configuration.services().values().stream()
+                .mapToLong(ServiceConfig::requestTimeoutMillis)
+                .max()
+                .orElse(0);
+    }
+
+    private void giveBackUnusable(
+            ClusterState state,
+            SlotUse use,
+            Set<EndpointId> leaving,
+            SortedMap<EndpointId, Integer> changes) {
+        Map<EndpointId, EndpointConfig> endpoints = state.config().configuration().endpoints();
+        for (EndpointId endpoint : state.slots().endpointsOf(mOwn)) {
+            EndpointConfig config = endpoints.get(endpoint);
+            int idle = use.idle(endpoint);
+            int held = use.held(endpoint);
+            int excess =
+                    config == null || leaving.contains(endpoint) ? held : held - config.slotCount();
+            if (idle > 0 && excess > 0) {
+                changes.put(endpoint, -Math.min(idle, excess));
+            }
+        }
+    }
+
+    private void planService(
+            String service,
+            ClusterState state,
+            SlotUse use,
+            Set<EndpointId> leaving,
+            long waitedToken,
+            SortedMap<EndpointId, Integer> changes) {
+        SortedMap<EndpointId, EndpointConfig> usable = new TreeMap<>();
+        int slotCount = 0;
+        int held = 0;
+        for (var entry : state.config().configuration().endpoints().entrySet()) {
+            EndpointConfig config = entry.getValue();
+            if (!config.service().equals(service) || leaving.contains(entry.getKey())) {
+                continue;
+            }
+            usable.put(entry.getKey(), config);
+            slotCount += config.slotCount();
+            held += use.held(entry.getKey());
+        }
+        int target = targets(state.members().all(), slotCount).getOrDefault(mOwn, 0);
+        if (held < target) {
+            take(target - held, usable, state, use, waitedToken, changes);
+        } else if (held > target + (int) Math.ceil(target * KEEP_SHARE)) {
+            giveBack(held - target, usable, use, changes);
+        }
+    }
+
+    /**
+     * Divides slots among members: a floor for each, the rest by published demand, by the method of
+     * largest remainders.
+     *
+     * @param members all members
+     * @param slotCount slots in all
+     * @return target of each member; the sum is the slot count if there are members
+     */
+    public static SortedMap<InstanceId, Integer> targets(
+            SortedMap<InstanceId, Member> members, int slotCount) {
+        SortedMap<InstanceId, Integer> targets = new TreeMap<>();
+        if (members.isEmpty()) {
+            return targets;
+        }
+        int floor = Math.min(FLOOR_COUNT, slotCount / members.size());
+        int rest = slotCount - floor * members.size();
+        long demand = members.values().stream().mapToLong(SlotPlanner::weight).sum();
+        List<Member> byRemainder = new ArrayList<>(members.values());
+        int given = 0;
+        for (Member member : members.values()) {
+            int share = (int) (rest * weight(member) / demand);
+            targets.put(member.instance(), floor + share);
+            given += share;
+        }
+        byRemainder.sort(
+                Comparator.comparingLong((Member member) -> -(rest * weight(member) % demand))
+                        .thenComparing(Member::instance));
+        for (int index = 0; index < rest - given; index++) {
+            targets.merge(byRemainder.get(index).instance(), 1, Integer::sum);
+        }
+        return targets;
+    }
+
+    private static long weight(Member member) {
+        return Math.max(1, member.demandSlotCount());
+    }
+
+    /**
+     * Takes free slots, first up to half of each endpoint, so that one endpoint's failure costs a
+     * member few of its slots and each member still talks to few endpoints.
+     */
+    private void take(
+            int wantedCount,
+            SortedMap<EndpointId, EndpointConfig> usable,
+            ClusterState state,
+            SlotUse use,
+            long waitedToken,
+            SortedMap<EndpointId, Integer> changes) {
+        List<EndpointId> order = new ArrayList<>(usable.keySet());
+        order.sort(
+                Comparator.comparing((EndpointId endpoint) -> use.held(endpoint) == 0)
+                        .thenComparing(this::preference, Long::compareUnsigned));
+        int wanted = wantedCount;
+        for (boolean halfOnly : new boolean[] {true, false}) {
+            for (EndpointId endpoint : order) {
+                EndpointConfig config = usable.get(endpoint);
+                int planned = changes.getOrDefault(endpoint, 0);
+                if (config == null || planned < 0) {
+                    continue;
+                }
+                int limit = halfOnly ? (config.slotCount() + 1) / 2 : config.slotCount();
+                int free = state.slots().free(endpoint, config.slotCount(), waitedToken) - planned;
+                int room = limit - use.held(endpoint) - planned;
+                int taken = Math.min(wanted, Math.min(free, room));
+                if (taken > 0) {
+                    changes.merge(endpoint, taken, Integer::sum);
+                    wanted -= taken;
+                }
+            }
+        }
+    }
+
+    private void giveBack(
+            int count,
+            SortedMap<EndpointId, EndpointConfig> usable,
+            SlotUse use,
+            SortedMap<EndpointId, Integer> changes) {
+        List<EndpointId> order = new ArrayList<>(usable.keySet());
+        order.sort(
+                Comparator.comparingInt((EndpointId endpoint) -> use.held(endpoint))
+                        .thenComparing(this::preference, (a, b) -> Long.compareUnsigned(b, a)));
+        int rest = count;
+        for (EndpointId endpoint : order) {
+            int given = Math.min(rest, use.idle(endpoint) + changes.getOrDefault(endpoint, 0));
+            if (given > 0) {
+                changes.merge(endpoint, -given, Integer::sum);
+                rest -= given;
+            }
+        }
+    }
+
+    private long preference(EndpointId endpoint) {
+        return Hashing.komihash5_0().hashCharsToLong(mOwn.value() + '\n' + endpoint.value());
+    }
+}
--- a/org.hornbeamward/src/org/hornbeamward/state/ClusterState.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/ClusterState.java
@@ -268,8 +268,9 @@
         Member member = mMembers.all().get(author);
         List<Member> ended = new ArrayList<>();
         if (member != null) {
-            mSlots.leave(author);
+            // A clean leaver has given back its slots; what it still holds may be in use.
             mMembers.remove(member, token, ended);
+            freeSlots(ended, token);
         }
         removeSuspected(token);
         return null;
--- a/org.hornbeamward/src/org/hornbeamward/state/SlotTable.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/SlotTable.java
@@ -1,6 +1,7 @@
 package org.hornbeamward.state;
 
 import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -43,6 +44,16 @@
                 mHeld.getOrDefault(endpoint, Collections.emptySortedMap()));
     }
 
+    /**
+     * Returns the endpoints of which a member holds slots.
+     *
+     * @param instance the member
+     * @return the endpoints in order
+     */
+    public List<EndpointId> endpointsOf(InstanceId instance) {
+        return mHeld.keySet().stream().filter(endpoint -> held(endpoint, instance) > 0).toList();
+    }
+
     /**
      * Returns the slots that can be taken.
      *
@@ -82,8 +93,8 @@
             EndpointConfig config = configuration.endpoints().get(endpoint);
             int slotCount = config == null ? 0 : config.slotCount();
             int taken = Math.min(delta, free(endpoint, slotCount, change.waitedToken()));
+            forgetReleased(endpoint, taken - unclaimed(endpoint, slotCount), change.waitedToken());
             addHeld(endpoint, author, taken);
-            forgetReleased(endpoint, slotCount);
         }
     }
 
@@ -98,10 +109,6 @@
         }
     }
 
-    void leave(InstanceId instance) {
-        mHeld.values().forEach(holders -> holders.remove(instance));
-    }
-
     private void addHeld(EndpointId endpoint, InstanceId instance, int delta) {
         if (delta == 0) {
             return;
@@ -116,22 +123,27 @@
         }
     }
 
+    /** Slots that are neither held nor released by a removal. */
+    private int unclaimed(EndpointId endpoint, int slotCount) {
+        return free(endpoint, slotCount, 0);
+    }
+
     /**
-     * Drops the oldest releases that must have been taken again, so that held, released and free
-     * slots never add up to more than the endpoint has.
+     * Drops the oldest releases that a taker got, among those that it has waited for. A release is
+     * never dropped without a take: its requests may run on although the slot count was lowered or
+     * the endpoint left the configuration for a time.
      */
-    private void forgetReleased(EndpointId endpoint, int slotCount) {
+    private void forgetReleased(EndpointId endpoint, int takenCount, long waitedToken) {
         SortedMap<Long, Integer> released = mReleasedByRemoval.get(endpoint);
         if (released == null) {
             return;
         }
-        int room = slotCount - sum(holders(endpoint).values());
-        int excess = sum(released.values()) - Math.max(0, room);
-        while (excess > 0) {
+        int rest = takenCount;
+        while (rest > 0 && !released.isEmpty() && released.firstKey() <= waitedToken) {
             Long oldest = released.firstKey();
             int count = released.getOrDefault(oldest, 0);
-            int dropped = Math.min(count, excess);
-            excess -= dropped;
+            int dropped = Math.min(count, rest);
+            rest -= dropped;
             if (dropped == count) {
                 released.remove(oldest);
             } else {
