--- /dev/null
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/package-info.java
@@ -0,0 +1,5 @@
+/** The monthly review and the written definition of each figure. */
+@NullMarked
+package org.hornbeamward.pgm.review;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/settings/EntrySettings.java
@@ -0,0 +1,47 @@
+package org.hornbeamward.pgm.settings;
+
+import java.net.URI;
+import java.util.Collections;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.hornbeamward.lib.FailureDomainId;
+import org.hornbeamward.lib.InstanceId;
+import org.hornbeamward.lib.RegionId;
+import org.hornbeamward.lib.WorkerId;
+import org.tinylog.Level;
+
+/**
+ * Settings of one entry instance. docs/settings.md describes each key. Immutable.
+ *
+ * @param instance name of the entry instance
+ * @param failureDomain failure domain that it runs in
+ * @param region region of that failure domain
+ * @param requestAddress where the front listens for callers
+ * @param adminAddress where the admin API listens
+ * @param peerAddress where other entry instances connect
+ * @param logUrl base URL of the platform's log
+ * @param listUrl URL of the platform's instance list
+ * @param workers addresses of workers, for platforms whose list does not name them
+ * @param logLevel least severe level that is written
+ * @param shutdownWaitMillis wait between reporting not ready and closing the front
+ * @param frontThreadCount event loop threads of the front
+ */
+public record EntrySettings(
+        InstanceId instance,
+        FailureDomainId failureDomain,
+        RegionId region,
+        HostPort requestAddress,
+        HostPort adminAddress,
+        HostPort peerAddress,
+        URI logUrl,
+        URI listUrl,
+        SortedMap<WorkerId, HostPort> workers,
+        Level logLevel,
+        long shutdownWaitMillis,
+        int frontThreadCount) {
+
+    /** Copies the map of workers. */
+    public EntrySettings {
+        workers = Collections.unmodifiableSortedMap(new TreeMap<>(workers));
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/settings/SettingsLoader.java
@@ -0,0 +1,159 @@
+package org.hornbeamward.pgm.settings;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Either;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import org.hornbeamward.errors.HornbeamwardError;
+import org.hornbeamward.errors.InvalidSetting;
+import org.hornbeamward.lib.FailureDomainId;
+import org.hornbeamward.lib.InstanceId;
+import org.hornbeamward.lib.RegionId;
+import org.hornbeamward.lib.WorkerId;
+import org.tinylog.Level;
+
+/** Loads and checks the settings file of an entry instance. */
+public final class SettingsLoader {
+    /** Every key of the settings file. */
+    public static final List<String> KEYS =
+            List.of(
+                    "instance",
+                    "failureDomain",
+                    "region",
+                    "requestAddress",
+                    "adminAddress",
+                    "peerAddress",
+                    "logUrl",
+                    "listUrl",
+                    "workers",
+                    "logLevel",
+                    "shutdownWaitMillis",
+                    "frontThreadCount");
+
+    /** Used if {@code shutdownWaitMillis} is absent. */
+    public static final long DEFAULT_SHUTDOWN_WAIT_MILLIS = 2000;
+
+    /** Used if {@code frontThreadCount} is absent. */
+    public static final int DEFAULT_FRONT_THREAD_COUNT = 2;
+
+    private static final long MAX_SHUTDOWN_WAIT_MILLIS = 600_000;
+    private static final int MAX_FRONT_THREADS = 64;
+
+    private SettingsLoader() {}
+
+    /**
+     * Loads a settings file.
+     *
+     * @param file JSON with comments, at most {@link JsonDocuments#MAX_FILE_BYTES}
+     * @return the settings, or every problem with its key and the remedy
+     */
+    public static Either<HornbeamwardError, EntrySettings> load(Path file) {
+        return JsonDocuments.readFile(file).flatMap(SettingsLoader::check);
+    }
+
+    /**
+     * Parses the text of a settings file.
+     *
+     * @param name name of the document for messages
+     * @param text JSON with comments
+     * @return the settings, or every problem with its key and the remedy
+     */
+    public static Either<HornbeamwardError, EntrySettings> parse(String name, String text) {
+        return JsonDocuments.parse(name, text).flatMap(SettingsLoader::check);
+    }
+
+    private static Either<HornbeamwardError, EntrySettings> check(ObjectNode node) {
+        FieldReader reader = FieldReader.of(node);
+        Optional<InstanceId> instance = reader.parsed("instance", InstanceId::parse);
+        Optional<FailureDomainId> domain = reader.parsed("failureDomain", FailureDomainId::parse);
+        Optional<RegionId> region = reader.parsed("region", RegionId::parse);
+        Optional<HostPort> request = reader.parsed("requestAddress", HostPort::parse);
+        Optional<HostPort> admin = reader.parsed("adminAddress", HostPort::parse);
+        Optional<HostPort> peer = reader.parsed("peerAddress", HostPort::parse);
+        Optional<URI> logUrl = reader.parsed("logUrl", SettingsLoader::httpUrl);
+        Optional<URI> listUrl = reader.parsed("listUrl", SettingsLoader::httpUrl);
+        SortedMap<WorkerId, HostPort> workers = workers(reader);
+        Optional<Level> logLevel =
+                reader.has("logLevel")
+                        ? reader.parsed("logLevel", SettingsLoader::level)
+                        : Optional.of(Level.INFO);
+        long shutdownWaitMillis =
+                reader.integer(
+                        "shutdownWaitMillis",
+                        0,
+                        MAX_SHUTDOWN_WAIT_MILLIS,
+                        DEFAULT_SHUTDOWN_WAIT_MILLIS);
+        long threadCount =
+                reader.integer(
+                        "frontThreadCount", 1, MAX_FRONT_THREADS, DEFAULT_FRONT_THREAD_COUNT);
+        return reader.finish(
+                () ->
+                        new EntrySettings(
+                                instance.orElseThrow(),
+                                domain.orElseThrow(),
+                                region.orElseThrow(),
+                                request.orElseThrow(),
+                                admin.orElseThrow(),
+                                peer.orElseThrow(),
+                                logUrl.orElseThrow(),
+                                listUrl.orElseThrow(),
+                                workers,
+                                logLevel.orElseThrow(),
+                                shutdownWaitMillis,
+                                (int) threadCount));
+    }
+
+    private static SortedMap<WorkerId, HostPort> workers(FieldReader reader) {
+        SortedMap<WorkerId, HostPort> workers = new TreeMap<>();
+        Optional<FieldReader> map = reader.optionalObject("workers");
+        if (map.isEmpty()) {
+            return workers;
+        }
+        for (String key : map.get().keys()) {
+            Either<? extends HornbeamwardError, WorkerId> id = WorkerId.parse(key);
+            Optional<HostPort> address = map.get().parsed(key, HostPort::parse);
+            if (id.isLeft()) {
+                map.get().problem(key, id.getLeft().message());
+            } else if (address.isPresent() && address.get().port() == 0) {
+                map.get().problem(key, "needs the port that the worker listens on, not 0");
+            } else {
+                address.ifPresent(value -> workers.put(id.get(), value));
+            }
+        }
+        return workers;
+    }
+
+    private static Either<InvalidSetting, URI> httpUrl(String text) {
+        try {
+            URI uri = new URI(text);
+            boolean http = "http".equals(uri.getScheme()) || "https".equals(uri.getScheme());
+            if (http && uri.getHost() != null) {
+                return Either.right(uri);
+            }
+        } catch (URISyntaxException e) {
+            // Reported below with the accepted form.
+        }
+        return Either.left(
+                new InvalidSetting("'" + text + "'", "use a URL such as http://10.0.0.1:9000"));
+    }
+
+    private static Either<InvalidSetting, Level> level(String text) {
+        return Arrays.stream(Level.values())
+                .filter(level -> level.name().equals(text.toUpperCase(Locale.ROOT)))
+                .findFirst()
+                .<Either<InvalidSetting, Level>>map(Either::right)
+                .orElseGet(
+                        () ->
+                                Either.left(
+                                        new InvalidSetting(
+                                                "'" + text + "'",
+                                                "use trace, debug, info, warn, error or off")));
+    }
+}
