--- a/org.hornbeamward/src/org/hornbeamward/config/Configuration.java
+++ b/org.hornbeamward/src/org/hornbeamward/config/Configuration.java
@@ -47,7 +47,6 @@
 
     private static final ObjectMapper MAPPER =
             JsonMapper.builder()
-                    .addModule(IdModule.create())
                     .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                     .enable(DeserializationFeature.FAIL_ON_MISSING_CREATOR_PROPERTIES)
                     .enable(DeserializationFeature.FAIL_ON_NULL_CREATOR_PROPERTIES)
