--- /dev/null
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyConnection.java
@@ -0,0 +1,92 @@
+package org.hornbeamward.standin.proxy;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/** One client connection and its connection to the target, on one event loop. */
+final class ProxyConnection {
+    private final ProxyStandIn mProxy;
+    private final Channel mClient;
+    private final Channel mTarget;
+    private final ProxyDirection mRequests;
+    private final ProxyDirection mAnswers;
+    private boolean mLostBytes;
+
+    ProxyConnection(ProxyStandIn proxy, Channel client, Channel target, boolean frozen) {
+        mProxy = proxy;
+        mClient = client;
+        mTarget = target;
+        mRequests = new ProxyDirection(client, target, frozen);
+        mAnswers = new ProxyDirection(target, client, frozen);
+        client.pipeline().addLast(new Forwarder(true));
+        target.pipeline().addLast(new Forwarder(false));
+        client.config().setAutoRead(true);
+        target.config().setAutoRead(true);
+    }
+
+    void setFrozen(boolean frozen) {
+        mClient.eventLoop()
+                .execute(
+                        () -> {
+                            mRequests.setFrozen(frozen);
+                            mAnswers.setFrozen(frozen);
+                        });
+    }
+
+    void cut() {
+        mClient.close();
+        mTarget.close();
+    }
+
+    private void forward(boolean fromClient, ByteBuf bytes) {
+        if (fromClient) {
+            mRequests.add(bytes, mProxy.faults().delayMillis());
+            return;
+        }
+        if (mProxy.takeCut()) {
+            bytes.release();
+            cut();
+            return;
+        }
+        mLostBytes |= mProxy.faults().dropAnswers();
+        if (mLostBytes) {
+            mProxy.events().count("answer-dropped");
+            bytes.release();
+            return;
+        }
+        mAnswers.add(bytes, mProxy.faults().delayMillis());
+    }
+
+    private final class Forwarder extends ChannelInboundHandlerAdapter {
+        private final boolean mFromClient;
+
+        Forwarder(boolean fromClient) {
+            mFromClient = fromClient;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            forward(mFromClient, (ByteBuf) message);
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            (mFromClient ? mAnswers : mRequests).pump();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            // What was on its way to this side is discarded, what came from it is still sent.
+            (mFromClient ? mAnswers : mRequests).release();
+            (mFromClient ? mRequests : mAnswers).sourceClosed();
+            mProxy.closed(ProxyConnection.this);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close();
+        }
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyStandIn.java
@@ -0,0 +1,212 @@
+package org.hornbeamward.standin.proxy;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.hornbeamward.standin.events.EventRecorder;
+import org.hornbeamward.standin.events.FaultJson;
+import org.hornbeamward.transport.http.HttpCall;
+import org.hornbeamward.transport.http.HttpReply;
+import org.hornbeamward.transport.http.HttpServer;
+
+/**
+ * Forwards TCP connections to one target and injects faults. The control port serves
+ *
+ * <ul>
+ *   <li>{@code POST /faults} with the fields of {@link ProxyFaults}, {@code GET /faults};
+ *   <li>{@code GET /events}, see {@link EventRecorder#answer}. Kinds: {@code faults}, {@code
+ *       opened}, {@code refused}, {@code unreachable}, {@code cut} (connections) and {@code
+ *       answer-cut}; {@code answer-dropped} and {@code closed} are counted only.
+ * </ul>
+ *
+ * <p>Safe for use by any thread.
+ */
+public final class ProxyStandIn implements AutoCloseable {
+    private static final int MAX_CONTROL_BYTES = 64 * 1024;
+
+    private final EventRecorder mEvents = new EventRecorder();
+    private final EventLoopGroup mLoops = new NioEventLoopGroup(1);
+    private final Set<ProxyConnection> mConnections = ConcurrentHashMap.newKeySet();
+    private final InetSocketAddress mTarget;
+    private final Channel mListener;
+    private final HttpServer mControl;
+    private volatile ProxyFaults mFaults = ProxyFaults.NONE;
+    private SplittableRandom mRandom = new SplittableRandom(ProxyFaults.NONE.seed());
+
+    /**
+     * Starts the proxy on the loopback address.
+     *
+     * @param port port to bind, 0 for any free one
+     * @param controlPort port of the control interface, 0 for any free one
+     * @param target where connections are forwarded
+     * @throws InterruptedException if interrupted while binding
+     */
+    public ProxyStandIn(int port, int controlPort, InetSocketAddress target)
+            throws InterruptedException {
+        mTarget = target;
+        mControl = new HttpServer("127.0.0.1", controlPort, 1, MAX_CONTROL_BYTES, this::handle);
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(mLoops)
+                        .channel(NioServerSocketChannel.class)
+                        .childOption(ChannelOption.AUTO_READ, false)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(
+                                new ChannelInitializer<Channel>() {
+                                    @Override
+                                    protected void initChannel(Channel client) {
+                                        accept(client);
+                                    }
+                                });
+        mListener = bootstrap.bind("127.0.0.1", port).sync().channel();
+    }
+
+    /**
+     * Returns the port that forwards to the target.
+     *
+     * @return the port number
+     */
+    public int port() {
+        return ((InetSocketAddress) mListener.localAddress()).getPort();
+    }
+
+    /**
+     * Returns the port of the control interface.
+     *
+     * @return the port number
+     */
+    public int controlPort() {
+        return mControl.port();
+    }
+
+    /**
+     * Returns the record of what this proxy did.
+     *
+     * @return the live record
+     */
+    public EventRecorder events() {
+        return mEvents;
+    }
+
+    /**
+     * Returns the faults in force.
+     *
+     * @return the faults
+     */
+    public ProxyFaults faults() {
+        return mFaults;
+    }
+
+    /**
+     * Puts faults in force.
+     *
+     * @param faults replaces all faults
+     */
+    public synchronized void setFaults(ProxyFaults faults) {
+        mEvents.record("faults", Map.of("faults", faults));
+        mRandom = new SplittableRandom(faults.seed());
+        mFaults = faults.withCut(false);
+        mConnections.forEach(connection -> connection.setFrozen(faults.frozen()));
+        if (faults.cut()) {
+            mEvents.record("cut", Map.of("connections", mConnections.size()));
+            mConnections.forEach(ProxyConnection::cut);
+        }
+    }
+
+    synchronized boolean takeCut() {
+        ProxyFaults faults = mFaults;
+        boolean cut = faults.cutFraction() > 0 && mRandom.nextDouble() < faults.cutFraction();
+        if (faults.cutNextAnswers() > 0) {
+            mFaults = faults.withCutNextAnswers(faults.cutNextAnswers() - 1);
+            cut = true;
+        }
+        if (cut) {
+            mEvents.record("answer-cut", Map.of());
+        }
+        return cut;
+    }
+
+    void closed(ProxyConnection connection) {
+        if (mConnections.remove(connection)) {
+            mEvents.count("closed");
+        }
+    }
+
+    private void accept(Channel client) {
+        if (mFaults.refuse()) {
+            mEvents.record("refused", Map.of());
+            reset(client);
+            return;
+        }
+        new Bootstrap()
+                .group(client.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.AUTO_READ, false)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInboundHandlerAdapter())
+                .connect(mTarget)
+                .addListener(
+                        (io.netty.channel.ChannelFuture connected) -> {
+                            if (!connected.isSuccess()) {
+                                mEvents.record("unreachable", Map.of());
+                                reset(client);
+                                return;
+                            }
+                            open(client, connected.channel());
+                        });
+    }
+
+    private synchronized void open(Channel client, Channel target) {
+        mEvents.record("opened", Map.of());
+        mConnections.add(new ProxyConnection(this, client, target, mFaults.frozen()));
+        if (!client.isActive()) {
+            target.close();
+        }
+    }
+
+    private static void reset(Channel client) {
+        // Closing with a linger time of 0 sends a reset, as a host without a listener does.
+        client.config().setOption(ChannelOption.SO_LINGER, 0);
+        client.close();
+    }
+
+    private CompletionStage<HttpReply> handle(HttpCall call) {
+        return CompletableFuture.completedFuture(
+                switch (call.method() + " " + call.path()) {
+                    case "GET /events" -> mEvents.answer(call);
+                    case "GET /faults" -> FaultJson.show(mFaults);
+                    case "POST /faults" -> changeFaults(call);
+                    default -> HttpReply.problem(404, "{\"kind\":\"NotFound\"}");
+                });
+    }
+
+    private synchronized HttpReply changeFaults(HttpCall call) {
+        return FaultJson.merge(mFaults, call.body(), ProxyFaults.class)
+                .peek(this::setFaults)
+                .fold(refusal -> refusal, FaultJson::show);
+    }
+
+    /** Closes all connections and stops. */
+    @Override
+    public void close() {
+        mListener.close().awaitUninterruptibly();
+        mConnections.forEach(ProxyConnection::cut);
+        mControl.close();
+        mLoops.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.storage.test/tst/org/hornbeamward/storage/log/BatchAppenderTest.java
@@ -0,0 +1,175 @@
+package org.hornbeamward.storage.log;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.stream.IntStream;
+import org.hornbeamward.kernel.Kernel;
+import org.hornbeamward.lib.JitteredBackoff;
+import org.hornbeamward.lib.MonotonicClock;
+import org.hornbeamward.standin.log.LogFaults;
+import org.hornbeamward.standin.log.LogStandIn;
+import org.hornbeamward.storage.Await;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against commands that are lost, repeated or reordered between appender and reader. */
+class BatchAppenderTest {
+    private final List<String> mRefused = new CopyOnWriteArrayList<>();
+    private LogStandIn mLog;
+    private HttpLogClient mClient;
+    private BatchAppender<String> mAppender;
+    private Kernel mKernel;
+
+    @BeforeEach
+    void start() throws InterruptedException {
+        mLog = new LogStandIn(0);
+        mClient = new HttpLogClient("127.0.0.1", mLog.port(), 250);
+        mAppender =
+                new BatchAppender<>(
+                        mClient,
+                        "control",
+                        8192,
+                        5,
+                        BatchAppenderTest::encode,
+                        (command, error) -> mRefused.add(command),
+                        new JitteredBackoff(new Random(3), 2, 20),
+                        MonotonicClock.SYSTEM);
+        mKernel = new Kernel();
+    }
+
+    @AfterEach
+    void stop() {
+        mKernel.close();
+        mClient.close();
+        mLog.close();
+    }
+
+    private static byte[] encode(long sequence, List<String> commands) {
+        String text = sequence + ":" + String.join(",", commands);
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** Commands as seen by a reader that ignores repeated sequences. */
+    private List<String> effectiveCommands() {
+        List<String> commands = new ArrayList<>();
+        long lastSequence = 0;
+        for (LogRecord record : mLog.records("control")) {
+            String[] parts = new String(record.bytes(), StandardCharsets.UTF_8).split(":", 2);
+            if (Long.parseLong(parts[0]) == lastSequence + 1) {
+                lastSequence++;
+                commands.addAll(Arrays.asList(parts[1].split(",")));
+            }
+        }
+        return commands;
+    }
+
+    private List<String> offer(int from, int to) {
+        List<String> commands = IntStream.range(from, to).mapToObj(i -> "c" + i).toList();
+        commands.forEach(command -> assertTrue(mAppender.offer(command).isRight()));
+        return commands;
+    }
+
+    private void awaitEmpty() throws InterruptedException {
+        Await.until("all commands are in the log", () -> mAppender.queueDepth() == 0);
+    }
+
+    @Test
+    void lostAnswersGiveEachCommandExactlyOnceInOrder() throws InterruptedException {
+        mLog.setFaults(LogFaults.NONE.withLoseFraction(0.4, 7));
+        mKernel.start(mAppender);
+        List<String> expected = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            expected.addAll(offer(i * 50, i * 50 + 50));
+            awaitEmpty();
+        }
+        assertEquals(expected, effectiveCommands());
+        assertTrue(mAppender.resendCount() > 0, "the seed loses some answers");
+        long appends = mLog.events().countOf("append");
+        assertEquals(mAppender.batchCount() + mAppender.resendCount(), appends);
+    }
+
+    @Test
+    void repeatedBatchIsUnchanged() throws InterruptedException {
+        mLog.setFaults(LogFaults.NONE.withLoseNextAnswers(2));
+        mKernel.start(mAppender);
+        offer(0, 10);
+        Await.until("the batch was sent", () -> mLog.events().countOf("append") > 0);
+        offer(10, 20);
+        awaitEmpty();
+        List<LogRecord> records = mLog.records("control");
+        assertArrayEquals(records.get(0).bytes(), records.get(1).bytes());
+        assertArrayEquals(records.get(0).bytes(), records.get(2).bytes());
+        assertEquals(20, effectiveCommands().size());
+    }
+
+    @Test
+    void confirmationByTheReaderEndsTheRepetition() throws InterruptedException {
+        mLog.setFaults(LogFaults.NONE.withLoseFraction(1, 1));
+        mKernel.start(mAppender);
+        offer(0, 5);
+        Await.until("the batch is repeated", () -> mAppender.resendCount() > 0);
+        assertTrue(mAppender.unavailable());
+        mAppender.confirmed(1);
+        awaitEmpty();
+        assertFalse(mAppender.unavailable());
+        assertEquals(1, mAppender.batchCount());
+    }
+
+    @Test
+    void outageDelaysCommandsAndThenLosesNone() throws InterruptedException {
+        mLog.setFaults(LogFaults.NONE.withDown(true));
+        mKernel.start(mAppender);
+        List<String> expected = offer(0, 3000);
+        Await.until("the outage is noticed", mAppender::unavailable);
+        assertEquals(3000, mAppender.queueDepth());
+        mLog.setFaults(LogFaults.NONE);
+        awaitEmpty();
+        assertFalse(mAppender.unavailable());
+        assertEquals(expected, effectiveCommands());
+    }
+
+    @Test
+    void commandsOfferedTogetherShareABatchOfAtMost1024() throws InterruptedException {
+        offer(0, 3000);
+        mKernel.start(mAppender);
+        awaitEmpty();
+        List<Integer> sizes =
+                mLog.records("control").stream()
+                        .map(r -> new String(r.bytes(), StandardCharsets.UTF_8).split(",").length)
+                        .toList();
+        assertEquals(List.of(1024, 1024, 952), sizes);
+        assertEquals(3, mAppender.batchCount());
+    }
+
+    @Test
+    void batchNeverExceedsTheRecordSizeAndOversizedCommandsAreRefused()
+            throws InterruptedException {
+        String large = "x".repeat(100_000);
+        String oversized = "y".repeat(LogClient.MAX_RECORD_BYTES);
+        List<String> commands = List.of(large, large, large, oversized, large, "small");
+        commands.forEach(mAppender::offer);
+        mKernel.start(mAppender);
+        awaitEmpty();
+        assertEquals(List.of(oversized), mRefused);
+        assertEquals(List.of(large, large, large, large, "small"), effectiveCommands());
+    }
+
+    @Test
+    void fullRingRefusesWithATypedError() {
+        for (int i = 0; i < 8192; i++) {
+            assertTrue(mAppender.offer("c").isRight());
+        }
+        assertEquals("RingFull", mAppender.offer("c").getLeft().kind());
+        assertEquals(8192, mAppender.queueDepth());
+    }
+}
