--- a/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyConnection.java
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyConnection.java
@@ -14,24 +14,25 @@
     private final ProxyDirection mAnswers;
     private boolean mLostBytes;
 
-    ProxyConnection(ProxyStandIn proxy, Channel client, Channel target, boolean frozen) {
+    ProxyConnection(ProxyStandIn proxy, Channel client, Channel target) {
         mProxy = proxy;
         mClient = client;
         mTarget = target;
-        mRequests = new ProxyDirection(client, target, frozen);
-        mAnswers = new ProxyDirection(target, client, frozen);
+        mRequests = new ProxyDirection(client, target, () -> proxy.faults().frozen());
+        mAnswers = new ProxyDirection(target, client, () -> proxy.faults().frozen());
         client.pipeline().addLast(new Forwarder(true));
         target.pipeline().addLast(new Forwarder(false));
         client.config().setAutoRead(true);
         target.config().setAutoRead(true);
     }
 
-    void setFrozen(boolean frozen) {
+    /** Forwards what was held, if forwarding does not stand still any more. */
+    void pump() {
         mClient.eventLoop()
                 .execute(
                         () -> {
-                            mRequests.setFrozen(frozen);
-                            mAnswers.setFrozen(frozen);
+                            mRequests.pump();
+                            mAnswers.pump();
                         });
     }
 
--- a/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyDirection.java
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyDirection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 /**
  * Bytes on their way from one channel to another, kept in order while they are delayed or held. All
@@ -18,13 +19,13 @@
 
     private final Channel mSource;
     private final Channel mDestination;
+    private final BooleanSupplier mFrozen;
     private final ArrayDeque<Held> mHeld = new ArrayDeque<>();
     private long mHeldBytes;
     private long mLastDueNanos;
-    private boolean mFrozen;
     private boolean mSourceClosed;
 
-    ProxyDirection(Channel source, Channel destination, boolean frozen) {
+    ProxyDirection(Channel source, Channel destination, BooleanSupplier frozen) {
         mSource = source;
         mDestination = destination;
         mFrozen = frozen;
@@ -44,18 +45,13 @@
         pump();
     }
 
-    void setFrozen(boolean frozen) {
-        mFrozen = frozen;
-        pump();
-    }
-
     void sourceClosed() {
         mSourceClosed = true;
         pump();
     }
 
     void pump() {
-        while (!mFrozen && !mHeld.isEmpty() && mDestination.isWritable()) {
+        while (!mFrozen.getAsBoolean() && !mHeld.isEmpty() && mDestination.isWritable()) {
             long waitNanos = mHeld.element().dueNanos() - System.nanoTime();
             if (waitNanos > 0) {
                 mDestination.eventLoop().schedule(this::pump, waitNanos, TimeUnit.NANOSECONDS);
@@ -65,7 +61,7 @@
             mHeldBytes -= bytes.readableBytes();
             mDestination.writeAndFlush(bytes);
         }
-        if (mSourceClosed && mHeld.isEmpty() && !mFrozen) {
+        if (mSourceClosed && mHeld.isEmpty() && !mFrozen.getAsBoolean()) {
             mDestination
                     .writeAndFlush(io.netty.buffer.Unpooled.EMPTY_BUFFER)
                     .addListener(ChannelFutureListener.CLOSE);
--- a/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyStandIn.java
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyStandIn.java
@@ -121,7 +121,7 @@
         mEvents.record("faults", Map.of("faults", faults));
         mRandom = new SplittableRandom(faults.seed());
         mFaults = faults.withCut(false);
-        mConnections.forEach(connection -> connection.setFrozen(faults.frozen()));
+        mConnections.forEach(ProxyConnection::pump);
         if (faults.cut()) {
             mEvents.record("cut", Map.of("connections", mConnections.size()));
             mConnections.forEach(ProxyConnection::cut);
@@ -173,7 +173,7 @@
 
     private synchronized void open(Channel client, Channel target) {
         mEvents.record("opened", Map.of());
-        mConnections.add(new ProxyConnection(this, client, target, mFaults.frozen()));
+        mConnections.add(new ProxyConnection(this, client, target));
         if (!client.isActive()) {
             target.close();
         }
