--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/TaskReconciler.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/TaskReconciler.java
@@ -151,7 +151,8 @@
                         status.checkpoint(),
                         spec.className(),
                         spec.kind(),
-                        spec.expectedRunMillis()));
+                        spec.expectedRunMillis(),
+                        spec.agreedPeriodMillis()));
     }
 
     private OptionalLong ticketForStart() {
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/WorkerSupervisor.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/WorkerSupervisor.java
@@ -32,8 +32,8 @@
 import org.hornbeamward.transport.message.RunningTask;
 import org.hornbeamward.transport.message.TaskReport;
 import org.hornbeamward.transport.message.ThrottleTask;
-import org.hornbeamward.transport.message.UsageReport;
 import org.hornbeamward.transport.message.WorkerMessage;
+import org.hornbeamward.transport.message.WorkerSamples;
 import org.hornbeamward.transport.message.WorkerStatus;
 import org.jspecify.annotations.Nullable;
 
@@ -227,13 +227,12 @@
     }
 
     /**
-     * Returns the usage samples that came since the last call, for the policy and the decider.
+     * Returns the usage samples of the supervised workers, for the policy and the decider.
      *
-     * @param nowNanos current time
-     * @return samples by worker; empty if there are none
+     * @return the live book, to be used by the control duty only
      */
-    public UsageReport takeUsage(long nowNanos) {
-        return mUsage.takeChanged(nowNanos);
+    public UsageBook usage() {
+        return mUsage;
     }
 
     /**
@@ -327,6 +326,7 @@
                     }
                 });
         mSessions.keySet().removeIf(id -> !wanted.containsKey(id));
+        mUsage.retainWorkers(wanted.keySet());
         wanted.forEach(
                 (id, address) -> {
                     WorkerSession session =
@@ -346,7 +346,12 @@
         session.mTickets.add(ack.ticketMillis(), nowNanos);
         session.mEnded.clear();
         ack.endedTasks().forEach(session::onEnded);
-        mUsage.add(session.mWorker, ack.changedUsage(), nowNanos);
+        mUsage.add(
+                new WorkerSamples(
+                        session.mWorker,
+                        ack.incarnation(),
+                        ack.measuredMillis(),
+                        ack.changedUsage()));
         mUsage.retain(session.mWorker, session.mRunning.keySet());
     }
 
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/message/MessageReader.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/MessageReader.java
@@ -21,7 +21,12 @@
             case MessageType.HEARTBEAT ->
                     new Heartbeat(number(), number(), number(), list(this::number));
             case MessageType.HEARTBEAT_ACK ->
-                    new HeartbeatAck(number(), number(), list(this::sample), list(this::endedTask));
+                    new HeartbeatAck(
+                            number(),
+                            number(),
+                            number(),
+                            list(this::sample),
+                            list(this::endedTask));
             case MessageType.START_TASK -> readStart();
             case MessageType.CHECKPOINT_TASK -> new CheckpointTask(number(), number());
             case MessageType.THROTTLE_TASK -> new ThrottleTask(number(), number(), integer());
@@ -63,6 +68,7 @@
                 number(),
                 text(),
                 constant(JobKind.values()),
+                number(),
                 number());
     }
 
@@ -94,10 +100,10 @@
     }
 
     private UsageSample sample() throws IOException, MalformedMessageException {
-        return new UsageSample(number(), number(), integer(), integer(), integer());
+        return new UsageSample(number(), integer(), integer(), integer(), integer());
     }
 
     private WorkerSamples workerSamples() throws IOException, MalformedMessageException {
-        return new WorkerSamples(worker(), list(this::sample));
+        return new WorkerSamples(worker(), number(), number(), list(this::sample));
     }
 }
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/message/PeerMessageWriter.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/PeerMessageWriter.java
@@ -54,6 +54,7 @@
         mPacker.packArrayHeader(report.workers().size());
         for (WorkerSamples worker : report.workers()) {
             text(worker.worker().value());
+            longs(worker.incarnation(), worker.measuredMillis());
             mPacker.packArrayHeader(worker.samples().size());
             for (UsageSample sample : worker.samples()) {
                 sample(sample);
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/message/StartTask.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/StartTask.java
@@ -17,6 +17,7 @@
  * @param className class of work
  * @param kind service or batch
  * @param expectedRunMillis declared run time of a batch task, 0 if unknown
+ * @param agreedPeriodMillis period within which a service answers, 0 for batch
  */
 public record StartTask(
         long epoch,
@@ -28,5 +29,6 @@
         long checkpoint,
         String className,
         JobKind kind,
-        long expectedRunMillis)
+        long expectedRunMillis,
+        long agreedPeriodMillis)
         implements WorkerMessage {}
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/message/UsageSample.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/UsageSample.java
@@ -1,13 +1,14 @@
 package org.hornbeamward.transport.message;
 
 /**
- * Measured use of one task.
+ * Measured use of one task. The time of measurement is in the message around it.
  *
  * @param token token of its placement
- * @param ageMillis time between the measurement and sending
  * @param cpuMillicores processors used
  * @param memoryMib memory used
- * @param slowdownPermille time taken for a unit of work over the time it takes alone, times 1000
+ * @param latencyPermille for a service, observed answer time over the agreed period, times 1000; 0
+ *     for a batch task
+ * @param throttlePercent share of the declared processors that it may use, 100 if not throttled
  */
 public record UsageSample(
-        long token, long ageMillis, int cpuMillicores, int memoryMib, int slowdownPermille) {}
+        long token, int cpuMillicores, int memoryMib, int latencyPermille, int throttlePercent) {}
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/message/ValueWriter.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/ValueWriter.java
@@ -35,9 +35,9 @@
     final void sample(UsageSample sample) throws IOException {
         longs(
                 sample.token(),
-                sample.ageMillis(),
                 sample.cpuMillicores(),
                 sample.memoryMib(),
-                sample.slowdownPermille());
+                sample.latencyPermille(),
+                sample.throttlePercent());
     }
 }
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/message/WorkerMessageWriter.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/WorkerMessageWriter.java
@@ -56,7 +56,11 @@
     }
 
     private void writeAck(HeartbeatAck ack) throws IOException {
-        longs(MessageType.HEARTBEAT_ACK, ack.incarnation(), ack.ticketMillis());
+        longs(
+                MessageType.HEARTBEAT_ACK,
+                ack.incarnation(),
+                ack.ticketMillis(),
+                ack.measuredMillis());
         mPacker.packArrayHeader(ack.changedUsage().size());
         for (UsageSample sample : ack.changedUsage()) {
             sample(sample);
@@ -98,7 +102,7 @@
         resources(start.resources());
         longs(start.checkpoint());
         text(start.className());
-        longs(start.kind().ordinal(), start.expectedRunMillis());
+        longs(start.kind().ordinal(), start.expectedRunMillis(), start.agreedPeriodMillis());
     }
 
     private void writeReport(TaskReport report) throws IOException {
