--- a/org.hornbeamward.standin.test/src/org/hornbeamward/standin/worker/EventRecord.java
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/worker/EventRecord.java
@@ -9,6 +9,7 @@
     private static final int MAX_EVENTS = 500_000;
 
     private final Deque<WorkerEvent> mEvents = new ArrayDeque<>();
+    private long mAddedCount;
 
     /** Creates an empty record. */
     public EventRecord() {}
@@ -20,11 +21,21 @@
      */
     public synchronized void add(WorkerEvent event) {
         mEvents.addLast(event);
+        mAddedCount++;
         if (mEvents.size() > MAX_EVENTS) {
             mEvents.removeFirst();
         }
     }
 
+    /**
+     * Returns how many events were added.
+     *
+     * @return their number, including those dropped
+     */
+    public synchronized long addedCount() {
+        return mAddedCount;
+    }
+
     /**
      * Returns the events in order.
      *
--- a/org.hornbeamward.standin.test/src/org/hornbeamward/standin/worker/WorkerAgent.java
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/worker/WorkerAgent.java
@@ -64,6 +64,7 @@
     private long mLeaseEndMillis = Long.MIN_VALUE;
     private long mRunMillis;
     private boolean mFailStarts;
+    private boolean mAccepted;
 
     private record Fence(long token, long setMillis) {}
 
@@ -100,6 +101,16 @@
         return mIncarnation;
     }
 
+    /**
+     * Tells whether the last message was not refused for its epoch, so that its sender is the
+     * supervisor.
+     *
+     * @return true if it was accepted
+     */
+    public boolean accepted() {
+        return mAccepted;
+    }
+
     /**
      * Makes every later start fail, or not.
      *
@@ -139,7 +150,8 @@
     public List<WorkerMessage> onMessage(WorkerMessage message, long nowMillis) {
         List<WorkerMessage> answers = tick(nowMillis);
         long epoch = epochOf(message);
-        if (epoch < mEpoch) {
+        mAccepted = epoch >= mEpoch;
+        if (!mAccepted) {
             answers.add(refuse(tokenOf(message), RefusalReason.OLD_EPOCH, nowMillis));
             return answers;
         }
