--- /dev/null
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/EndpointClient.java
@@ -0,0 +1,167 @@
+package org.hornbeamward.route.front;
+
+import io.netty.handler.codec.http.HttpHeaders;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.asynchttpclient.AsyncHandler;
+import org.asynchttpclient.AsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClient;
+import org.asynchttpclient.DefaultAsyncHttpClientConfig;
+import org.asynchttpclient.HttpResponseBodyPart;
+import org.asynchttpclient.HttpResponseStatus;
+import org.asynchttpclient.Request;
+import org.asynchttpclient.RequestBuilder;
+import org.asynchttpclient.netty.request.NettyRequest;
+import org.asynchttpclient.uri.Uri;
+import org.hornbeamward.transport.http.HttpCall;
+import org.hornbeamward.transport.http.HttpReply;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Sends single attempts to endpoints. A connection carries one request at a time. It is closed
+ * unless the whole answer was read, so that no answer can meet another request.
+ */
+final class EndpointClient implements AutoCloseable {
+    /** Shorter than the usual idle timeouts of servers, so that few sends meet a closed one. */
+    private static final Duration IDLE = Duration.ofSeconds(2);
+
+    private static final Duration CONNECT = Duration.ofMillis(500);
+    private static final int DEFAULT_PORT = 80;
+
+    private final AsyncHttpClient mClient;
+    private final int mMaxResponseBytes;
+
+    EndpointClient(int threadCount, int maxResponseBytes) {
+        mMaxResponseBytes = maxResponseBytes;
+        mClient =
+                new DefaultAsyncHttpClient(
+                        new DefaultAsyncHttpClientConfig.Builder()
+                                .setThreadPoolName("endpoint-client")
+                                .setIoThreadsCount(threadCount)
+                                // The client's own repeats would run a request twice.
+                                .setMaxRequestRetry(0)
+                                .setFollowRedirect(false)
+                                .setKeepAlive(true)
+                                .setTcpNoDelay(true)
+                                .setConnectTimeout(CONNECT)
+                                .setPooledConnectionIdleTimeout(IDLE)
+                                .setCompressionEnforced(false)
+                                .setEnableAutomaticDecompression(false)
+                                .setUserAgent(null)
+                                .build());
+    }
+
+    /**
+     * Sends one attempt.
+     *
+     * @param address host:port
+     * @param call the caller's request
+     * @param remainingMillis time told to the endpoint
+     * @param longestMillis time after which the connection is closed
+     * @return the result; never a failed stage
+     */
+    CompletionStage<SendResult> send(
+            String address, HttpCall call, long remainingMillis, long longestMillis) {
+        Handler handler = new Handler();
+        try {
+            mClient.executeRequest(request(address, call, remainingMillis, longestMillis), handler);
+        } catch (RuntimeException e) {
+            handler.onThrowable(e);
+        }
+        return handler.mResult;
+    }
+
+    private static Request request(
+            String address, HttpCall call, long remainingMillis, long longestMillis) {
+        int colon = address.lastIndexOf(':');
+        String host = colon < 0 ? address : address.substring(0, colon);
+        int port = colon < 0 ? DEFAULT_PORT : Integer.parseInt(address.substring(colon + 1));
+        int question = call.rawUri().indexOf('?');
+        String path = question < 0 ? call.rawUri() : call.rawUri().substring(0, question);
+        String query = question < 0 ? null : call.rawUri().substring(question + 1);
+        HttpHeaders headers = HeaderRules.toEndpoint(call.headers());
+        headers.set(HeaderRules.TIMEOUT, remainingMillis);
+        RequestBuilder builder =
+                new RequestBuilder(call.method(), true)
+                        .setUri(new Uri("http", null, host, port, path, query, null))
+                        .setHeaders(headers)
+                        .setRequestTimeout(Duration.ofMillis(longestMillis))
+                        .setReadTimeout(Duration.ofMillis(longestMillis));
+        if (call.body().length > 0) {
+            builder.setBody(call.body());
+        }
+        return builder.build();
+    }
+
+    @Override
+    public void close() {
+        try {
+            mClient.close();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private final class Handler implements AsyncHandler<Void> {
+        private final CompletableFuture<SendResult> mResult = new CompletableFuture<>();
+        private final ByteArrayOutputStream mBody = new ByteArrayOutputStream();
+        private @Nullable HttpHeaders mHeaders;
+        private int mStatus;
+        private volatile boolean mSendStarted;
+
+        @Override
+        public void onRequestSend(NettyRequest request) {
+            mSendStarted = true;
+        }
+
+        @Override
+        public State onStatusReceived(HttpResponseStatus status) {
+            mStatus = status.getStatusCode();
+            return State.CONTINUE;
+        }
+
+        @Override
+        public State onHeadersReceived(HttpHeaders headers) {
+            mHeaders = headers;
+            return State.CONTINUE;
+        }
+
+        @Override
+        public State onBodyPartReceived(HttpResponseBodyPart part) {
+            byte[] bytes = part.getBodyPartBytes();
+            if (mBody.size() + bytes.length > mMaxResponseBytes) {
+                mResult.complete(
+                        new SendResult.Broken(
+                                "its answer is longer than " + mMaxResponseBytes + " bytes", true));
+                return State.ABORT;
+            }
+            mBody.write(bytes, 0, bytes.length);
+            return State.CONTINUE;
+        }
+
+        @Override
+        public @Nullable Void onCompleted() {
+            HttpHeaders headers = mHeaders;
+            if (headers == null) {
+                mResult.complete(new SendResult.Broken("the connection was closed", false));
+                return null;
+            }
+            HttpReply reply = HeaderRules.toCaller(mStatus, headers, mBody.toByteArray());
+            mResult.complete(new SendResult.Answered(reply));
+            return null;
+        }
+
+        @Override
+        public void onThrowable(Throwable failure) {
+            String reason = failure.getClass().getSimpleName() + ": " + failure.getMessage();
+            mResult.complete(
+                    mSendStarted
+                            ? new SendResult.Broken(reason, false)
+                            : new SendResult.NotSent(reason));
+        }
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/FrontServer.java
@@ -0,0 +1,82 @@
+package org.hornbeamward.route.front;
+
+import org.hornbeamward.lib.MonotonicClock;
+import org.hornbeamward.route.slot.SlotUse;
+import org.hornbeamward.transport.http.HttpServer;
+
+/** The front's HTTP server with its graceful stop. */
+public final class FrontServer implements AutoCloseable {
+    private static final long POLL_MILLIS = 10;
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final FrontConfig mConfig;
+    private final Front mFront;
+    private final SlotUse mUse;
+    private final HttpServer mServer;
+    private volatile boolean mReady = true;
+
+    /**
+     * Starts listening.
+     *
+     * @param host address to bind
+     * @param port port to bind, 0 for any free one
+     * @param config settings
+     * @param front answers the requests; closed with this server
+     * @param use this member's slots
+     * @throws InterruptedException if interrupted while binding
+     */
+    public FrontServer(String host, int port, FrontConfig config, Front front, SlotUse use)
+            throws InterruptedException {
+        mConfig = config;
+        mFront = front;
+        mUse = use;
+        mServer = new HttpServer(host, port, config.threadCount(), config.maxRequestBytes(), front);
+    }
+
+    /**
+     * Returns the bound port.
+     *
+     * @return the port number
+     */
+    public int port() {
+        return mServer.port();
+    }
+
+    /**
+     * Tells whether the load balancer may send new requests.
+     *
+     * @return false before the first view, while inactive and during a stop
+     */
+    public boolean isReady() {
+        return mReady && mFront.view().active();
+    }
+
+    /**
+     * Stops gracefully: reports not ready, waits for the load balancer, stops accepting, and waits
+     * until no request is in flight and no slot is in use. Then the caller gives back the slots
+     * ({@link org.hornbeamward.route.slot.SlotPlanner#giveBackAll}) and closes this server.
+     *
+     * @return true if everything ended in time
+     * @throws InterruptedException if interrupted while waiting
+     */
+    public boolean drain() throws InterruptedException {
+        mReady = false;
+        Thread.sleep(mConfig.loadBalancerWaitMillis());
+        mServer.startDraining();
+        long startNanos = MonotonicClock.SYSTEM.nowNanos();
+        long limitNanos = mConfig.stopMillis() * NANOS_PER_MILLI;
+        while (mServer.inFlightCount() > 0 || mUse.usedInAll() > 0) {
+            if (MonotonicClock.SYSTEM.nowNanos() - startNanos >= limitNanos) {
+                return false;
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+        return true;
+    }
+
+    @Override
+    public void close() {
+        mServer.close();
+        mFront.close();
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/Refusals.java
@@ -0,0 +1,56 @@
+package org.hornbeamward.route.front;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.hornbeamward.errors.HornbeamwardError;
+import org.hornbeamward.errors.RequestNotRun;
+import org.hornbeamward.errors.RequestOutcomeUnknown;
+import org.hornbeamward.route.claim.RequestOutcome;
+import org.hornbeamward.transport.http.HttpReply;
+
+/** Turns outcomes into responses; refusals are problem documents (RFC 9457). */
+final class Refusals {
+    private static final ObjectMapper MAPPER = JsonMapper.builder().build();
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+    private static final int UNPROCESSABLE = 422;
+
+    private Refusals() {}
+
+    static HttpReply reply(RequestOutcome outcome) {
+        return switch (outcome) {
+            case RequestOutcome.Answered answered -> answered.reply();
+            case RequestOutcome.NotRun notRun -> notRun(UNAVAILABLE, notRun.reason());
+            case RequestOutcome.Unknown unknown -> unknown(unknown.reason());
+            case RequestOutcome.KeyReused reused ->
+                    notRun(
+                            UNPROCESSABLE,
+                            "its Idempotency-Key belongs to a request with another method, path or"
+                                    + " body; use a new key");
+        };
+    }
+
+    static HttpReply notRun(int status, String reason) {
+        return problem(status, new RequestNotRun(reason), "not-run");
+    }
+
+    private static HttpReply unknown(String reason) {
+        return problem(GATEWAY_TIMEOUT, new RequestOutcomeUnknown(reason), "unknown");
+    }
+
+    private static HttpReply problem(int status, HornbeamwardError error, String outcome) {
+        Map<String, Object> body = new LinkedHashMap<>();
+        body.put("status", status);
+        body.put("kind", error.kind());
+        body.put("message", error.message());
+        try {
+            return HttpReply.problem(status, MAPPER.writeValueAsString(body))
+                    .withHeader(HeaderRules.OUTCOME, outcome);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a map of strings cannot fail", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/SendResult.java
@@ -0,0 +1,19 @@
+package org.hornbeamward.route.front;
+
+import org.hornbeamward.transport.http.HttpReply;
+
+/** What became of one attempt at one endpoint. */
+sealed interface SendResult {
+    /** The endpoint answered. */
+    record Answered(HttpReply reply) implements SendResult {}
+
+    /** No byte was written. */
+    record NotSent(String reason) implements SendResult {}
+
+    /**
+     * The connection was given up after bytes may have been written.
+     *
+     * @param processingEnded whether the endpoint was answering already
+     */
+    record Broken(String reason, boolean processingEnded) implements SendResult {}
+}
--- /dev/null
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/retry/Admission.java
@@ -0,0 +1,56 @@
+package org.hornbeamward.route.retry;
+
+/**
+ * Refuses requests that would reach the end of the queue too late, so that at overload slots work
+ * on requests whose callers still wait. Safe for use by any thread.
+ */
+public final class Admission {
+    private static final double SAMPLE_WEIGHT = 0.05;
+
+    private final int mMaxQueueCount;
+    private double mMeanNanos;
+
+    /**
+     * Creates an admission that has seen no request.
+     *
+     * @param maxQueueCount most requests that may wait
+     */
+    public Admission(int maxQueueCount) {
+        mMaxQueueCount = maxQueueCount;
+    }
+
+    /**
+     * Notes how long a request kept its slot.
+     *
+     * @param nanos duration
+     */
+    public synchronized void sample(long nanos) {
+        mMeanNanos += mMeanNanos == 0 ? nanos : (nanos - mMeanNanos) * SAMPLE_WEIGHT;
+    }
+
+    /**
+     * Decides on a request that would have to wait.
+     *
+     * @param queuedCount requests that wait already
+     * @param slotCount slots that serve the queue
+     * @param remainingNanos time until the request's deadline
+     * @return false if it should be refused at once
+     */
+    public synchronized boolean admits(int queuedCount, int slotCount, long remainingNanos) {
+        if (queuedCount >= mMaxQueueCount) {
+            return false;
+        }
+        double waitNanos = mMeanNanos * (queuedCount + 1) / Math.max(1, slotCount);
+        return waitNanos + mMeanNanos <= remainingNanos;
+    }
+
+    /**
+     * Decides on a request that has waited and could be sent now.
+     *
+     * @param remainingNanos time until the request's deadline
+     * @return false if an answer within the deadline is unlikely
+     */
+    public synchronized boolean isWorthSending(long remainingNanos) {
+        return remainingNanos > 0 && remainingNanos >= mMeanNanos / 2;
+    }
+}
--- a/org.hornbeamward.route/src/org/hornbeamward/route/slot/SlotPlanner.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/slot/SlotPlanner.java
@@ -73,6 +73,26 @@
                 : Optional.of(new ChangeSlots(changes, waitedToken));
     }
 
+    /**
+     * Plans the return of all idle slots, for a graceful stop.
+     *
+     * @param state the replicated state
+     * @param use this member's slots
+     * @return a command to pass to {@link SlotUse#begin}, or empty if no slot is idle or an earlier
+     *     change is outstanding
+     */
+    public Optional<ChangeSlots> giveBackAll(ClusterState state, SlotUse use) {
+        SortedMap<EndpointId, Integer> changes = new TreeMap<>();
+        for (EndpointId endpoint : state.slots().endpointsOf(mOwn)) {
+            if (use.idle(endpoint) > 0) {
+                changes.put(endpoint, -use.idle(endpoint));
+            }
+        }
+        return changes.isEmpty() || use.isOutstanding()
+                ? Optional.empty()
+                : Optional.of(new ChangeSlots(changes, 0));
+    }
+
     private static long longestRequestMillis(Configuration configuration) {
         return configuration.services().values().stream()
                 .mapToLong(ServiceConfig::requestTimeoutMillis)
@@ -185,7 +205,8 @@
                 if (config == null || planned < 0) {
                     continue;
                 }
-                int limit = halfOnly ? (config.slotCount() + 1) / 2 : config.slotCount();
+                int most = Math.min(config.slotCount(), connectionShare(config, state));
+                int limit = halfOnly ? Math.min(most, (config.slotCount() + 1) / 2) : most;
                 int free = state.slots().free(endpoint, config.slotCount(), waitedToken) - planned;
                 int room = limit - use.held(endpoint) - planned;
                 int taken = Math.min(wanted, Math.min(free, room));
@@ -197,6 +218,14 @@
         }
     }
 
+    /**
+     * A member's connections stay open for a time after their slots went to another member. An
+     * equal share for each member keeps the sum of all below the endpoint's limit.
+     */
+    private static int connectionShare(EndpointConfig config, ClusterState state) {
+        return Math.max(1, config.connectionCount() / state.members().all().size());
+    }
+
     private void giveBack(
             int count,
             SortedMap<EndpointId, EndpointConfig> usable,
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpReply.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpReply.java
@@ -2,20 +2,47 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
  * One response. Immutable.
  *
- * @param status HTTP status code
+ * @param status HTTP status code, or 0 to close the connection without a response
  * @param headers header fields besides Content-Length
  * @param body the whole body
+ * @param repeatedHeaders further header fields whose names may repeat, such as Set-Cookie
  */
-public record HttpReply(int status, Map<String, String> headers, byte[] body) {
+public record HttpReply(
+        int status,
+        Map<String, String> headers,
+        byte[] body,
+        List<Map.Entry<String, String>> repeatedHeaders) {
 
     /** Copies the header fields. */
     public HttpReply {
         headers = Map.copyOf(headers);
+        repeatedHeaders = List.copyOf(repeatedHeaders);
+    }
+
+    /**
+     * Creates a response without repeated header fields.
+     *
+     * @param status HTTP status code
+     * @param headers header fields besides Content-Length
+     * @param body the whole body
+     */
+    public HttpReply(int status, Map<String, String> headers, byte[] body) {
+        this(status, headers, body, List.of());
+    }
+
+    /**
+     * Creates a reply that closes the connection without a response.
+     *
+     * @return the reply
+     */
+    public static HttpReply closeConnection() {
+        return new HttpReply(0, Map.of(), new byte[0]);
     }
 
     /**
@@ -63,6 +90,6 @@
     public HttpReply withHeader(String name, String value) {
         Map<String, String> all = new LinkedHashMap<>(headers);
         all.put(name, value);
-        return new HttpReply(status, all, body);
+        return new HttpReply(status, all, body, repeatedHeaders);
     }
 }
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpServer.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpServer.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -57,6 +58,28 @@
      */
     public HttpServer(String host, int port, int threadCount, int maxBodyBytes, HttpHandler handler)
             throws InterruptedException {
+        this(host, port, threadCount, maxBodyBytes, Integer.MAX_VALUE, handler);
+    }
+
+    /**
+     * Starts listening with a limit of connections.
+     *
+     * @param host address to bind
+     * @param port port to bind, 0 for any free one
+     * @param threadCount event loop threads
+     * @param maxBodyBytes largest request body
+     * @param maxConnectionCount open connections; one more is closed at once
+     * @param handler answers the requests
+     * @throws InterruptedException if interrupted while binding
+     */
+    public HttpServer(
+            String host,
+            int port,
+            int threadCount,
+            int maxBodyBytes,
+            int maxConnectionCount,
+            HttpHandler handler)
+            throws InterruptedException {
         mLoops = new NioEventLoopGroup(threadCount);
         ServerBootstrap bootstrap =
                 new ServerBootstrap()
@@ -68,6 +91,10 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
+                                        if (mConnections.size() >= maxConnectionCount) {
+                                            channel.close();
+                                            return;
+                                        }
                                         mConnections.add(channel);
                                         channel.pipeline()
                                                 .addLast(new HttpServerCodec())
@@ -96,6 +123,15 @@
         return mInFlight.get();
     }
 
+    /**
+     * Returns the open connections.
+     *
+     * @return their number
+     */
+    public int connectionCount() {
+        return mConnections.size();
+    }
+
     /** Stops accepting connections and closes each open one after its next response. */
     public void startDraining() {
         mDraining = true;
@@ -162,25 +198,31 @@
         }
 
         private void finish(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
-            write(context, reply, keepAlive && !mDraining);
-            mInFlight.decrementAndGet();
+            // Counted until it is flushed, so that a graceful stop does not cut off a response.
+            write(context, reply, keepAlive && !mDraining)
+                    .addListener(unused -> mInFlight.decrementAndGet());
             context.channel().config().setAutoRead(true);
         }
 
-        private void write(ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+        private ChannelFuture write(
+                ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+            if (reply.status() == 0) {
+                return context.close();
+            }
             FullHttpResponse response =
                     new DefaultFullHttpResponse(
                             HttpVersion.HTTP_1_1,
                             HttpResponseStatus.valueOf(reply.status()),
                             Unpooled.wrappedBuffer(reply.body()));
             reply.headers().forEach((name, value) -> response.headers().set(name, value));
+            reply.repeatedHeaders()
+                    .forEach(field -> response.headers().add(field.getKey(), field.getValue()));
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
             if (keepAlive) {
-                context.writeAndFlush(response);
-                return;
+                return context.writeAndFlush(response);
             }
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            return context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
         }
 
         @Override
