--- /dev/null
+++ b/org.hornbeamward.route.test/tst/org/hornbeamward/route/claim/ClaimDeskTest.java
@@ -0,0 +1,140 @@
+package org.hornbeamward.route.claim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.hornbeamward.errors.HornbeamwardError;
+import org.hornbeamward.errors.LogUnavailable;
+import org.hornbeamward.lib.InstanceId;
+import org.hornbeamward.transport.http.HttpReply;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a request that runs twice and against refusals that are not true. */
+class ClaimDeskTest {
+    private static final ClaimKey KEY = ClaimKey.of("loan", "issue-1");
+    private static final long DIGEST = ClaimKey.digest("POST", "/loan/issue", new byte[] {1});
+
+    private final List<ClaimRecord> mAppended = new ArrayList<>();
+    private final List<CompletableFuture<RequestOutcome>> mSent = new ArrayList<>();
+    private Either<HornbeamwardError, Long> mAppendResult = Either.right(0L);
+    private long mNowNanos;
+
+    private ClaimDesk desk(String instance, ClaimantQuery query) {
+        return new ClaimDesk(
+                new InstanceId(instance),
+                1,
+                record -> {
+                    mAppended.add(record);
+                    return CompletableFuture.completedFuture(mAppendResult);
+                },
+                query,
+                () -> mNowNanos,
+                () -> 0,
+                10_000);
+    }
+
+    private ClaimDesk desk() {
+        return desk("a", (holder, key, millis) -> new CompletableFuture<>());
+    }
+
+    private CompletableFuture<RequestOutcome> run(ClaimDesk desk, long digest) {
+        return desk.run(KEY, digest, 1_000, () -> null, this::send).toCompletableFuture();
+    }
+
+    private CompletionStage<RequestOutcome> send() {
+        CompletableFuture<RequestOutcome> outcome = new CompletableFuture<>();
+        mSent.add(outcome);
+        return outcome;
+    }
+
+    private static RequestOutcome answer() {
+        return new RequestOutcome.Answered(HttpReply.json(200, "{}"));
+    }
+
+    @Test
+    void requestIsSentOnlyAfterItsClaimWasReadBackAndRepeatsGetItsAnswer() {
+        ClaimDesk desk = desk();
+        CompletableFuture<RequestOutcome> first = run(desk, DIGEST);
+        assertTrue(mSent.isEmpty());
+        desk.apply(mAppended.get(0));
+        desk.apply(mAppended.get(0));
+        assertEquals(1, mSent.size());
+        CompletableFuture<RequestOutcome> repeat = run(desk, DIGEST);
+        assertFalse(repeat.isDone());
+        mSent.get(0).complete(answer());
+        assertEquals(first.join(), repeat.join());
+        assertEquals(first.join(), run(desk, DIGEST).join());
+        assertEquals(1, mSent.size());
+    }
+
+    @Test
+    void anotherRequestUnderTheKeyIsRefused() {
+        ClaimDesk desk = desk();
+        run(desk, DIGEST);
+        assertInstanceOf(RequestOutcome.KeyReused.class, run(desk, DIGEST + 1).join());
+        desk.apply(mAppended.get(0));
+        assertInstanceOf(RequestOutcome.KeyReused.class, run(desk, DIGEST + 1).join());
+    }
+
+    @Test
+    void claimGivenUpIsNeverSentWhenItAppearsLater() {
+        ClaimDesk desk = desk();
+        CompletableFuture<RequestOutcome> first = run(desk, DIGEST);
+        mNowNanos = 2_000;
+        desk.expire();
+        assertInstanceOf(RequestOutcome.NotRun.class, first.join());
+        mNowNanos = 500;
+        CompletableFuture<RequestOutcome> second = run(desk, DIGEST);
+        desk.apply(mAppended.get(0));
+        assertInstanceOf(RequestOutcome.NotRun.class, second.join());
+        desk.apply(mAppended.get(1));
+        assertInstanceOf(RequestOutcome.NotRun.class, run(desk, DIGEST).join());
+        assertTrue(mSent.isEmpty());
+    }
+
+    @Test
+    void requestIsNotRunWhileTheLogIsDown() {
+        ClaimDesk desk = desk();
+        mAppendResult = Either.left(new LogUnavailable("503"));
+        assertInstanceOf(RequestOutcome.NotRun.class, run(desk, DIGEST).join());
+        desk.apply(mAppended.get(0));
+        assertTrue(mSent.isEmpty());
+    }
+
+    @Test
+    void repeatThroughAnotherInstanceAsksTheClaimant() {
+        ClaimDesk claimant = desk();
+        ClaimDesk other =
+                desk(
+                        "b",
+                        (holder, key, millis) ->
+                                claimant.answerQuery(holder.incarnation(), key, holder.sequence()));
+        run(claimant, DIGEST);
+        claimant.apply(mAppended.get(0));
+        mSent.get(0).complete(answer());
+        CompletableFuture<RequestOutcome> crossing = run(other, DIGEST);
+        other.apply(mAppended.get(0));
+        other.apply(mAppended.get(1));
+        assertInstanceOf(RequestOutcome.Answered.class, crossing.join());
+        assertEquals(1, mSent.size());
+        assertInstanceOf(
+                RequestOutcome.Unknown.class,
+                claimant.answerQuery(2, KEY, 1).toCompletableFuture().join());
+    }
+
+    @Test
+    void answerThatIsNoLongerKeptIsUnknown() {
+        ClaimDesk desk = desk();
+        run(desk, DIGEST);
+        desk.apply(mAppended.get(0));
+        mSent.get(0).complete(new RequestOutcome.Answered(HttpReply.json(200, "x".repeat(20_000))));
+        assertInstanceOf(RequestOutcome.Unknown.class, run(desk, DIGEST).join());
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.route.test/tst/org/hornbeamward/route/claim/ClaimTablePropertyTest.java
@@ -0,0 +1,144 @@
+package org.hornbeamward.route.claim;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.hornbeamward.lib.InstanceId;
+import org.hornbeamward.transport.http.HttpReply;
+import org.junit.jupiter.api.Test;
+
+/** Guards against doubled runs when records are lost, repeated, late, or cross one another. */
+class ClaimTablePropertyTest {
+    private static final int KEY_COUNT = 5;
+
+    private final List<ClaimRecord> mLog = new ArrayList<>();
+    private final List<ClaimRecord> mLimbo = new ArrayList<>();
+    private final Map<Long, Integer> mRuns = new HashMap<>();
+    private long mNowNanos;
+
+    @Property(seed = "22", tries = 300)
+    void aKeyRunsAtMostOnceAndNeverAfterItWasReportedNotRunByItsClaimant(@ForAll long seed) {
+        mLog.clear();
+        mLimbo.clear();
+        mRuns.clear();
+        mNowNanos = 0;
+        Random random = new Random(seed);
+        List<ClaimDesk> desks = new ArrayList<>();
+        int[] read = new int[3];
+        for (int index = 0; index < read.length; index++) {
+            desks.add(desk(index, desks, random));
+        }
+        for (int step = 0; step < 200; step++) {
+            mNowNanos++;
+            int index = random.nextInt(desks.size());
+            ClaimDesk desk = desks.get(index);
+            switch (random.nextInt(5)) {
+                case 0, 1 -> {
+                    long key = random.nextInt(KEY_COUNT);
+                    desk.run(
+                            new ClaimKey(0, key),
+                            key,
+                            mNowNanos + 10,
+                            () -> null,
+                            () -> {
+                                mRuns.merge(key, 1, Integer::sum);
+                                return CompletableFuture.completedFuture(
+                                        new RequestOutcome.Answered(HttpReply.json(200, "")));
+                            });
+                }
+                case 2, 3 -> {
+                    if (read[index] < mLog.size()) {
+                        desk.apply(mLog.get(read[index]++));
+                    }
+                }
+                default -> {
+                    desk.expire();
+                    if (!mLimbo.isEmpty()) {
+                        mLog.add(mLimbo.remove(random.nextInt(mLimbo.size())));
+                    }
+                }
+            }
+        }
+        mRuns.values().forEach(runs -> assertEquals(1, runs));
+    }
+
+    private ClaimDesk desk(int index, List<ClaimDesk> desks, Random random) {
+        return new ClaimDesk(
+                new InstanceId("m" + index),
+                index,
+                record -> {
+                    int fate = random.nextInt(4);
+                    if (fate == 0) {
+                        return new CompletableFuture<>();
+                    }
+                    if (fate == 1) {
+                        mLimbo.add(record);
+                        return CompletableFuture.failedFuture(new IllegalStateException("lost"));
+                    }
+                    mLog.add(record);
+                    if (fate == 2) {
+                        mLimbo.add(record);
+                    }
+                    return CompletableFuture.completedFuture(Either.right(0L));
+                },
+                (holder, key, millis) ->
+                        desks.get((int) holder.incarnation())
+                                .answerQuery(holder.incarnation(), key, holder.sequence()),
+                () -> mNowNanos,
+                () -> mNowNanos,
+                10_000);
+    }
+
+    @Test
+    void tableKeepsTheFirstClaimRefusesBeyondItsLimitAndExpires() {
+        ClaimTable table = new ClaimTable(3);
+        table.apply(record("a", 0, 1, 2));
+        table.apply(record("b", 1_000, 2, 3, 4));
+        assertEquals(new InstanceId("a"), holder(table, 2));
+        assertEquals(new InstanceId("b"), holder(table, 3));
+        assertTrue(table.find(new ClaimKey(0, 4)).isEmpty());
+        table.apply(record("c", ClaimTable.KEEP_MILLIS, 1, 5));
+        assertEquals(new InstanceId("c"), holder(table, 1));
+        assertEquals(3, table.size());
+    }
+
+    @Test
+    void decodedTableIsTheSameAndDamagedBytesAreAnError() {
+        ClaimTable table = new ClaimTable();
+        Random random = new Random(5);
+        for (int index = 0; index < 3_000; index++) {
+            table.apply(record("m" + index % 3, index * 5_000L, random.nextLong()));
+        }
+        byte[] bytes = table.encode();
+        ClaimTable decoded = ClaimTable.decode(bytes).get();
+        assertArrayEquals(bytes, decoded.encode());
+        assertEquals(table.digest(), decoded.digest());
+        assertEquals(ClaimTable.KEEP_MILLIS / 5_000, decoded.size());
+        assertTrue(ClaimTable.decode(new byte[] {1, 2}).isLeft());
+        ClaimRecord record = record("a", 7, 1, -2);
+        assertEquals(record, ClaimRecord.decode(record.encode(), "here").get());
+        assertTrue(ClaimRecord.decode(new byte[] {1}, "here").isLeft());
+    }
+
+    private static InstanceId holder(ClaimTable table, long key) {
+        return table.find(new ClaimKey(0, key)).orElseThrow().instance();
+    }
+
+    private static ClaimRecord record(String instance, long wallMillis, long... keys) {
+        List<Claim> claims = new ArrayList<>();
+        for (long key : keys) {
+            claims.add(new Claim(new ClaimKey(0, key), key, 1));
+        }
+        return new ClaimRecord(new InstanceId(instance), 1, wallMillis, claims);
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.route.test/tst/org/hornbeamward/route/retry/RetryTest.java
@@ -0,0 +1,63 @@
+package org.hornbeamward.route.retry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.hornbeamward.lib.EndpointId;
+import org.junit.jupiter.api.Test;
+
+/** Guards against retries and ejections that make an outage worse. */
+class RetryTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    @Test
+    void retriesStayWithinATenthOfRequests() {
+        RetryBudget budget = new RetryBudget(0.1, 10);
+        int retries = 0;
+        for (int request = 0; request < 10_000; request++) {
+            budget.onRequest();
+            retries += budget.tryRetry() ? 1 : 0;
+        }
+        assertTrue(retries <= 1_010, "retries " + retries);
+    }
+
+    @Test
+    void atMostAThirdOfEndpointsIsEjected() {
+        EndpointHealth health = new EndpointHealth();
+        int ejected = 0;
+        for (int index = 0; index < 7; index++) {
+            EndpointId endpoint = new EndpointId("e" + index);
+            for (int failure = 0; failure < 5; failure++) {
+                health.failed(endpoint, 7, 0);
+            }
+            ejected += health.isEjected(endpoint, 0) ? 1 : 0;
+        }
+        assertEquals(2, ejected);
+    }
+
+    @Test
+    void ejectionEndsAndTheNextFailureEjectsForLonger() {
+        EndpointHealth health = new EndpointHealth();
+        EndpointId endpoint = new EndpointId("e");
+        for (int failure = 0; failure < EndpointHealth.FAILURE_COUNT; failure++) {
+            assertFalse(health.isEjected(endpoint, 0));
+            health.failed(endpoint, 9, 0);
+        }
+        assertTrue(health.isEjected(endpoint, SECOND - 1));
+        assertFalse(health.isEjected(endpoint, SECOND));
+        health.failed(endpoint, 9, SECOND);
+        assertTrue(health.isEjected(endpoint, 3 * SECOND - 1));
+        health.succeeded(endpoint);
+        assertFalse(health.isEjected(endpoint, SECOND));
+    }
+
+    @Test
+    void requestThatWouldWaitPastItsDeadlineIsRefusedAtOnce() {
+        Admission admission = new Admission(100);
+        admission.sample(SECOND);
+        assertTrue(admission.admits(3, 4, 2 * SECOND));
+        assertFalse(admission.admits(4, 4, 2 * SECOND));
+        assertFalse(admission.admits(100, 1_000, 100 * SECOND));
+    }
+}
