--- /dev/null
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/ReviewChart.java
@@ -0,0 +1,51 @@
+package org.hornbeamward.pgm.review;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import org.knowm.xchart.CategoryChart;
+import org.knowm.xchart.CategoryChartBuilder;
+import org.knowm.xchart.VectorGraphicsEncoder;
+import org.knowm.xchart.VectorGraphicsEncoder.VectorGraphicsFormat;
+
+/** One bar chart of a figure as SVG: a bar for each service or team and month. */
+final class ReviewChart {
+    private static final int WIDTH_PIXELS = 720;
+    private static final int HEIGHT_PIXELS = 320;
+
+    private ReviewChart() {}
+
+    /** Returns an svg element, without the XML declaration, to put into a page. */
+    static String svg(Review review, FigureDefinition definition, List<Review.Row> rows) {
+        System.setProperty("java.awt.headless", "true");
+        CategoryChart chart =
+                new CategoryChartBuilder()
+                        .width(WIDTH_PIXELS)
+                        .height(HEIGHT_PIXELS)
+                        .title(definition.key())
+                        .yAxisTitle(definition.unit())
+                        .build();
+        List<String> names = rows.stream().map(Review.Row::subject).toList();
+        review.againstMonth()
+                .ifPresent(
+                        month -> chart.addSeries(month, names, values(rows, Review.Row::against)));
+        chart.addSeries(review.month(), names, values(rows, Review.Row::value));
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            VectorGraphicsEncoder.saveVectorGraphic(chart, out, VectorGraphicsFormat.SVG);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        String document = out.toString(StandardCharsets.UTF_8);
+        return document.substring(document.indexOf("<svg"));
+    }
+
+    private static List<Long> values(
+            List<Review.Row> rows, Function<Review.Row, OptionalLong> value) {
+        return rows.stream().map(row -> value.apply(row).orElse(0)).toList();
+    }
+}
