--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/questionnaire/Generator.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/questionnaire/Generator.java
@@ -123,7 +123,7 @@
     private static GeneratedEntry policy() {
         GeneratedEntry entry = new GeneratedEntry("policy");
         entry.value().put("placementPolicy", PolicyConfig.DEFAULT.placementPolicy());
-        return entry.from("placementPolicy", "no answer, it is the default");
+        return entry.from("placementPolicy", "the default, which no question asks for");
     }
 
     private GeneratedEntry serviceJob(int index) {
