--- /dev/null
+++ b/org.hornbeamward.pgm.test/tst/org/hornbeamward/pgm/test/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the programs. */
+@NullMarked
+package org.hornbeamward.pgm.test;
+
+import org.jspecify.annotations.NullMarked;
