Add usage samples and the placement policy interface

The decider needs an immutable usage sample and a policy interface before its own code. Best fit by declared sizes is registered as the first policy.

--- /dev/null
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/BestFitPolicy.java
@@ -0,0 +1,34 @@
+package org.hornbeamward.schedule.policy;
+
+import java.util.List;
+import org.hornbeamward.command.JobSpec;
+import org.hornbeamward.lib.Resources;
+import org.hornbeamward.schedule.usage.UsageSample;
+
+/** Best fit by declared sizes; ignores interference. The baseline of the measurements. */
+public final class BestFitPolicy implements PlacementPolicy {
+    /** Creates the policy. */
+    public BestFitPolicy() {}
+
+    @Override
+    public boolean usesMeasurements() {
+        return false;
+    }
+
+    @Override
+    public double score(JobSpec job, WorkerView worker) {
+        Resources left = worker.free().minus(job.resources());
+        return -left.dominantShareOf(worker.capacity());
+    }
+
+    @Override
+    public void observe(UsageSample sample, WorkerView worker, long nowNanos) {}
+
+    @Override
+    public void observeRun(FinishedRun run) {}
+
+    @Override
+    public List<Reduction> reduce(WorkerView worker, long nowNanos) {
+        return List.of();
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/WorkerView.java
@@ -0,0 +1,45 @@
+package org.hornbeamward.schedule.policy;
+
+import java.util.List;
+import org.hornbeamward.lib.Resources;
+import org.hornbeamward.lib.WorkerId;
+
+/** What a policy sees of one worker. Includes decisions in flight. */
+public interface WorkerView {
+    /**
+     * Returns the worker.
+     *
+     * @return its id
+     */
+    WorkerId worker();
+
+    /**
+     * Returns what the worker has.
+     *
+     * @return its capacity
+     */
+    Resources capacity();
+
+    /**
+     * Returns what may still be committed.
+     *
+     * @return capacity less declared sizes, decisions in flight and reservations; if the policy
+     *     uses measurements, also less measured use above the declarations
+     */
+    Resources free();
+
+    /**
+     * Returns the tasks that hold resources here, including decisions in flight.
+     *
+     * @return unmodifiable view
+     */
+    List<ResidentTask> tasks();
+
+    /**
+     * Returns how many tasks of a service are placed near this worker.
+     *
+     * @param className the service's class
+     * @return tasks of the class on this worker
+     */
+    int classCount(String className);
+}
--- /dev/null
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/usage/package-info.java
@@ -0,0 +1,5 @@
+/** Usage measured by workers. */
+@NullMarked
+package org.hornbeamward.schedule.usage;
+
+import org.jspecify.annotations.NullMarked;
