--- /dev/null
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/ClusterModel.java
@@ -0,0 +1,273 @@
+package org.hornbeamward.schedule.decide;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import org.hornbeamward.command.JobKind;
+import org.hornbeamward.lib.FailureDomainId;
+import org.hornbeamward.lib.RegionId;
+import org.hornbeamward.lib.Resources;
+import org.hornbeamward.lib.TaskId;
+import org.hornbeamward.lib.WorkerId;
+import org.hornbeamward.schedule.policy.FinishedRun;
+import org.hornbeamward.schedule.policy.ResidentTask;
+import org.hornbeamward.state.ClusterState;
+import org.hornbeamward.state.JobStatus;
+import org.hornbeamward.state.TaskResult;
+import org.hornbeamward.state.TaskState;
+import org.hornbeamward.state.TaskStatus;
+import org.hornbeamward.state.WorkTable;
+import org.hornbeamward.state.WorkerStatus;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The decider's workers, brought up to date from the replicated state at each call. Only workers
+ * whose commitment changed are read again.
+ */
+final class ClusterModel {
+    /** First time of avoiding a worker after a failure; four times as long after each further. */
+    private static final long AVOID_NANOS = 5_000_000_000L;
+
+    private final SortedMap<WorkerId, WorkerModel> mWorkers = new TreeMap<>();
+    private final Map<Long, Placement> mPlacements = new HashMap<>();
+    private final Map<String, Integer> mServiceCounts = new HashMap<>();
+    private final Map<FailureDomainId, Resources> mDomainCapacity = new HashMap<>();
+    private final Map<FailureDomainId, Resources> mDomainCommitted = new HashMap<>();
+    private Predicate<RegionId> mRegions = region -> true;
+    private long mChangeSequence;
+    private boolean mStarted;
+
+    void setRegions(Predicate<RegionId> regions) {
+        mRegions = regions;
+    }
+
+    Collection<WorkerModel> workers() {
+        return mWorkers.values();
+    }
+
+    @Nullable WorkerModel worker(WorkerId id) {
+        return mWorkers.get(id);
+    }
+
+    @Nullable Placement placement(long token) {
+        return mPlacements.get(token);
+    }
+
+    /** Returns the latest change sequence; a later one means that room may have become free. */
+    long changeSequence() {
+        return mChangeSequence;
+    }
+
+    void touch(WorkerModel worker) {
+        worker.mChangeSequence = ++mChangeSequence;
+    }
+
+    Map<FailureDomainId, Resources> domainCapacity() {
+        return Collections.unmodifiableMap(mDomainCapacity);
+    }
+
+    /** Returns what is committed or in flight in a failure domain. */
+    Resources domainCommitted(FailureDomainId domain) {
+        return mDomainCommitted.getOrDefault(domain, Resources.NONE);
+    }
+
+    /** Returns how many tasks of a service are placed in a rack or failure domain. */
+    int serviceCount(String className, String place) {
+        return mServiceCounts.getOrDefault(className + '\n' + place, 0);
+    }
+
+    static String domainKey(WorkerModel worker) {
+        return "domain " + worker.mStatus.registration().failureDomain();
+    }
+
+    static String rackKey(WorkerModel worker) {
+        return "rack "
+                + worker.mStatus.registration().failureDomain()
+                + ' '
+                + worker.mStatus.registration().rack();
+    }
+
+    /** Reads changes from the state and returns the batch runs that finished. */
+    List<FinishedRun> refresh(ClusterState state, long nowNanos) {
+        List<FinishedRun> finished = new ArrayList<>();
+        SortedMap<WorkerId, WorkerStatus> registered = state.work().workers();
+        Set<WorkerId> gone = new HashSet<>(mWorkers.keySet());
+        for (WorkerStatus status : registered.values()) {
+            if (!mRegions.test(status.registration().region())) {
+                continue;
+            }
+            gone.remove(status.worker());
+            WorkerModel worker = mWorkers.get(status.worker());
+            if (worker != null && worker.mStatus != status) {
+                remove(worker);
+                worker = null;
+            }
+            if (worker == null) {
+                worker = add(status, nowNanos);
+            }
+            if (worker.mCommittedSeen != status.committed()) {
+                rebuild(worker, state.work(), nowNanos, finished);
+            }
+            noteFailures(worker, nowNanos);
+        }
+        for (WorkerId id : gone) {
+            WorkerModel worker = mWorkers.get(id);
+            if (worker != null) {
+                remove(worker);
+            }
+        }
+        mStarted = true;
+        return finished;
+    }
+
+    private WorkerModel add(WorkerStatus status, long nowNanos) {
+        WorkerModel worker = new WorkerModel(status, nowNanos);
+        mWorkers.put(status.worker(), worker);
+        mDomainCapacity.merge(
+                status.registration().failureDomain(),
+                status.registration().capacity(),
+                Resources::plus);
+        touch(worker);
+        return worker;
+    }
+
+    private void remove(WorkerModel worker) {
+        mWorkers.remove(worker.worker());
+        FailureDomainId domain = worker.mStatus.registration().failureDomain();
+        Resources left =
+                mDomainCapacity.getOrDefault(domain, Resources.NONE).minus(worker.capacity());
+        mDomainCapacity.put(domain, left);
+        for (Placement placement : List.copyOf(worker.placements())) {
+            forget(worker, placement);
+        }
+        for (ResidentTask task : List.copyOf(worker.mInFlight.values())) {
+            removeInFlight(worker, task);
+        }
+    }
+
+    void addInFlight(WorkerModel worker, ResidentTask task) {
+        worker.addInFlight(task);
+        count(worker, task, 1);
+    }
+
+    void removeInFlight(WorkerModel worker, ResidentTask task) {
+        if (worker.mInFlight.containsKey(task.task())) {
+            worker.removeInFlight(task.task());
+            count(worker, task, -1);
+            touch(worker);
+        }
+    }
+
+    private void rebuild(
+            WorkerModel worker, WorkTable work, long nowNanos, List<FinishedRun> finished) {
+        worker.integrate(nowNanos);
+        WorkerStatus status = worker.mStatus;
+        worker.mCommittedSeen = status.committed();
+        for (Placement placement : List.copyOf(worker.placements())) {
+            Long token = status.tasks().get(placement.mTask.task());
+            if (token == null || token != placement.mTask.token()) {
+                forget(worker, placement);
+                noteRun(worker, placement, work, nowNanos, finished);
+            }
+        }
+        for (Map.Entry<TaskId, Long> held : status.tasks().entrySet()) {
+            if (!worker.mPlacements.containsKey(held.getValue())) {
+                follow(worker, work, held.getKey(), held.getValue(), nowNanos);
+            }
+        }
+        worker.refreshTasks();
+        touch(worker);
+    }
+
+    private void follow(WorkerModel worker, WorkTable work, TaskId id, long token, long nowNanos) {
+        JobStatus job = work.jobs().get(id.job());
+        TaskStatus task = work.task(id).orElse(null);
+        if (job == null || task == null) {
+            return;
+        }
+        ResidentTask resident = new ResidentTask(id, token, job.spec());
+        ResidentTask decided = worker.mInFlight.get(id);
+        if (decided != null) {
+            removeInFlight(worker, decided);
+        }
+        Placement placement =
+                new Placement(
+                        resident,
+                        nowNanos,
+                        mStarted,
+                        task.checkpoint() == 0 && task.placementCount() == 1,
+                        worker.coreSeconds());
+        worker.mPlacements.put(token, placement);
+        mPlacements.put(token, placement);
+        count(worker, resident, 1);
+    }
+
+    private void forget(WorkerModel worker, Placement placement) {
+        worker.mPlacements.remove(placement.mTask.token());
+        mPlacements.remove(placement.mTask.token());
+        count(worker, placement.mTask, -1);
+    }
+
+    private void count(WorkerModel worker, ResidentTask task, int sign) {
+        FailureDomainId domain = worker.mStatus.registration().failureDomain();
+        Resources committed = domainCommitted(domain);
+        Resources size = task.spec().resources();
+        mDomainCommitted.put(domain, sign > 0 ? committed.plus(size) : committed.minus(size));
+        if (task.spec().kind() == JobKind.SERVICE) {
+            String prefix = task.spec().className() + '\n';
+            mServiceCounts.merge(prefix + domainKey(worker), sign, Integer::sum);
+            mServiceCounts.merge(prefix + rackKey(worker), sign, Integer::sum);
+        }
+    }
+
+    private static void noteRun(
+            WorkerModel worker,
+            Placement placement,
+            WorkTable work,
+            long nowNanos,
+            List<FinishedRun> finished) {
+        boolean whole = placement.mFresh && placement.mStartKnown && placement.mTask.batch();
+        TaskStatus task = work.task(placement.mTask.task()).orElse(null);
+        double seconds = (nowNanos - placement.mFirstSeenNanos) / 1e9;
+        if (!whole
+                || seconds <= 0
+                || task == null
+                || !(task.state() instanceof TaskState.Ended ended)
+                || ended.result() != TaskResult.FINISHED) {
+            return;
+        }
+        Map<String, Double> meanCores = worker.coreSeconds();
+        placement.mCoreSecondsAtStart.forEach(
+                (name, start) -> meanCores.merge(name, -start, Double::sum));
+        meanCores.replaceAll((name, coreSeconds) -> coreSeconds / seconds);
+        meanCores.merge(
+                placement.mTask.spec().className(),
+                -placement.mTask.spec().resources().cpuMillicores() / 1000.0,
+                Double::sum);
+        meanCores.values().removeIf(cores -> cores < 1e-9);
+        finished.add(
+                new FinishedRun(
+                        placement.mTask.spec(),
+                        nowNanos - placement.mFirstSeenNanos,
+                        Map.copyOf(meanCores)));
+    }
+
+    private void noteFailures(WorkerModel worker, long nowNanos) {
+        int count = worker.mStatus.failedJobs().size();
+        if (count > worker.mFailedJobCount) {
+            worker.mAvoidUntilNanos = nowNanos + (AVOID_NANOS << (2 * Math.min(count - 1, 4)));
+        }
+        if (count == 0 && worker.mFailedJobCount > 0) {
+            touch(worker);
+        }
+        worker.mFailedJobCount = count;
+    }
+}
--- a/org.hornbeamward/src/org/hornbeamward/state/WorkerStatus.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/WorkerStatus.java
@@ -76,4 +76,13 @@
     public boolean quarantined() {
         return mQuarantined;
     }
+
+    /**
+     * Returns the evidence against the worker.
+     *
+     * @return unmodifiable view of the jobs of which tasks failed here since the last success
+     */
+    public SortedSet<JobId> failedJobs() {
+        return Collections.unmodifiableSortedSet(mFailedJobs);
+    }
 }
