--- /dev/null
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/fake/Draw.java
@@ -0,0 +1,30 @@
+package org.hornbeamward.bench.fake;
+
+import java.util.SplittableRandom;
+
+/** Random draws that {@link SplittableRandom} lacks. */
+public final class Draw {
+    private Draw() {}
+
+    /**
+     * Draws from a log-normal distribution of median 1.
+     *
+     * @param random source
+     * @param sigma standard deviation of the logarithm
+     * @return a factor above 0
+     */
+    public static double logNormal(SplittableRandom random, double sigma) {
+        return Math.exp(sigma * random.nextGaussian());
+    }
+
+    /**
+     * Draws from an exponential distribution.
+     *
+     * @param random source
+     * @param mean its mean
+     * @return 0 or more
+     */
+    public static double exponential(SplittableRandom random, double mean) {
+        return -mean * Math.log(1 - random.nextDouble());
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/urgent/package-info.java
@@ -0,0 +1,5 @@
+/** Start of urgent work on a full cluster of the target size. */
+@NullMarked
+package org.hornbeamward.bench.urgent;
+
+import org.jspecify.annotations.NullMarked;
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/PendingJob.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/PendingJob.java
@@ -25,7 +25,8 @@
     private final InFlightDecisions mInFlight;
     private @Nullable TaskId mHead;
 
-    PendingJob(ClusterState state, JobStatus job, long waitingSinceNanos, InFlightDecisions inFlight) {
+    PendingJob(
+            ClusterState state, JobStatus job, long waitingSinceNanos, InFlightDecisions inFlight) {
         mJob = job;
         mTier = tierOf(job.spec());
         mWaitingSinceNanos = waitingSinceNanos;
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/PendingQueue.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/PendingQueue.java
@@ -18,8 +18,8 @@
 import org.hornbeamward.state.JobStatus;
 
 /**
- * Jobs with pending tasks and since when each has waited. Deciders of several regions see the
- * same jobs; each job has one region by rendezvous hash that tries it first.
+ * Jobs with pending tasks and since when each has waited. Deciders of several regions see the same
+ * jobs; each job has one region by rendezvous hash that tries it first.
  */
 final class PendingQueue {
     /** Age at which the other regions try a job too; well under the urgent bound of 2.3 s. */
