--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/placement/PlacementCase.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/placement/PlacementCase.java
@@ -64,7 +64,13 @@
         return cluster.figures();
     }
 
-    private static void report(SortedMap<String, Double> figures, String policy, RunFigures run) {
+    private static void report(
+            SortedMap<String, Double> figures,
+            Deployment deployment,
+            String policy,
+            RunFigures run) {
+        double allCoreSeconds = deployment.cores() * deployment.workerCount() * RUN_SECONDS;
+        figures.put(policy + ".committedCpuRatio", run.mCommittedCoreSeconds / allCoreSeconds);
         figures.put(policy + ".p99LatencyPerPeriodRatio", run.p99Ratio());
         figures.put(policy + ".batchCoreHours", run.mFinishedCoreSeconds / 3600);
         figures.put(policy + ".lostCoreHours", run.mLostCoreSeconds / 3600);
