Assemble the entry process

Cause: the parts had no process. AnswerQuery names the claim; TaskAdvice carries throttle and checkpoint wishes to supervisors.

--- /dev/null
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/ControlDuty.java
@@ -0,0 +1,463 @@
+package org.hornbeamward.pgm.entry;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.hornbeamward.codec.BatchCodec;
+import org.hornbeamward.command.ChangeSlots;
+import org.hornbeamward.command.Command;
+import org.hornbeamward.command.CommandBatch;
+import org.hornbeamward.command.LeaveMember;
+import org.hornbeamward.command.RenewMember;
+import org.hornbeamward.command.ReportFigures;
+import org.hornbeamward.command.TrustMember;
+import org.hornbeamward.event.LogEvent;
+import org.hornbeamward.kernel.Duty;
+import org.hornbeamward.lib.EndpointId;
+import org.hornbeamward.lib.InstanceId;
+import org.hornbeamward.lib.MonotonicClock;
+import org.hornbeamward.lib.WorkerId;
+import org.hornbeamward.pgm.admin.ConfigHistory;
+import org.hornbeamward.route.front.RoutingView;
+import org.hornbeamward.route.slot.DemandEstimate;
+import org.hornbeamward.route.slot.SlotPlanner;
+import org.hornbeamward.schedule.worker.SupervisorOutput;
+import org.hornbeamward.schedule.worker.WorkerSupervisor;
+import org.hornbeamward.state.ClusterState;
+import org.hornbeamward.state.CommandResult;
+import org.hornbeamward.storage.list.InstanceEntry;
+import org.hornbeamward.storage.list.InstanceKind;
+import org.hornbeamward.storage.list.InstanceList;
+import org.hornbeamward.storage.list.InstanceState;
+import org.hornbeamward.storage.log.FollowEvent;
+import org.hornbeamward.transport.link.Link;
+import org.hornbeamward.transport.message.AnswerQuery;
+import org.hornbeamward.transport.message.AnswerReply;
+import org.hornbeamward.transport.message.Message;
+import org.hornbeamward.transport.message.PeerMessage;
+import org.hornbeamward.transport.message.PeerPing;
+import org.hornbeamward.transport.message.PeerPong;
+import org.hornbeamward.transport.message.TaskAdvice;
+import org.hornbeamward.transport.message.UsageReport;
+
+/**
+ * Owns the replicated state: applies the control stream and runs membership, decisions, supervision
+ * and slot planning. Everything here runs on this duty's thread unless a method says otherwise.
+ */
+final class ControlDuty implements Duty {
+    private static final long MAX_WAIT_NANOS = 20_000_000L;
+
+    private final EntryParts mParts;
+    private final MonotonicClock mClock;
+    private final ControlRing mRing;
+    private final InstanceId mOwn;
+    private final WorkerSupervisor mSupervisor;
+    private final PeerMesh mMesh;
+    private final WorkerLinks mWorkerLinks;
+    private final SlotPlanner mSlotPlanner;
+    private final DemandEstimate mDemand = new DemandEstimate();
+    private final PendingCommands mPending = new PendingCommands();
+    private final UsageFeed mUsage = new UsageFeed();
+    private final ConfigHistory mHistory = new ConfigHistory();
+    private final DecisionStep mDecisions;
+    private final SnapshotStep mSnapshots;
+    private final Periods mPeriods = new Periods();
+    private final AtomicBoolean mActive = new AtomicBoolean();
+
+    private ClusterState mState = new ClusterState();
+    private Incarnation mIncarnation;
+    private Set<EndpointId> mLeaving = new HashSet<>();
+    private Set<EndpointId> mLive = Set.of();
+    private long mKnownEpoch = -1;
+    private long mRenewedConfigVersion = -1;
+    private long mFigureSequence;
+    private boolean mRoutingDirty = true;
+    private boolean mLeavingNow;
+
+    ControlDuty(EntryParts parts, DecisionStep decisions, SnapshotStep snapshots) {
+        mParts = parts;
+        mClock = parts.clock();
+        mRing = parts.ring();
+        mOwn = parts.place().instance();
+        mSupervisor = new WorkerSupervisor(mOwn);
+        mMesh = new PeerMesh(mOwn, parts.loops(), mRing, parts.counters());
+        mWorkerLinks = new WorkerLinks(parts.loops(), mRing, parts.counters());
+        mSlotPlanner = new SlotPlanner(mOwn);
+        mDecisions = decisions;
+        mSnapshots = snapshots;
+        mIncarnation = parts.appenders().begin(parts.place());
+        mSupervisor.onAddresses(parts.workerAddresses(), mClock.nowNanos());
+    }
+
+    @Override
+    public String name() {
+        return "control";
+    }
+
+    @Override
+    public void runOnce() {
+        mRing.drain(this::handle);
+        tick(mClock.nowNanos());
+        mRing.await(MAX_WAIT_NANOS);
+    }
+
+    ClusterState state() {
+        return mState;
+    }
+
+    ConfigHistory history() {
+        return mHistory;
+    }
+
+    PendingCommands pending() {
+        return mPending;
+    }
+
+    /** Tells whether this member may act. May be called by any thread. */
+    boolean active() {
+        return mActive.get();
+    }
+
+    boolean offer(Command command) {
+        return mIncarnation.offer(command);
+    }
+
+    /** Hands advice to the supervisor of a worker, which may be this instance. */
+    void advise(InstanceId supervisor, TaskAdvice advice) {
+        if (supervisor.equals(mOwn)) {
+            follow(advice);
+        } else {
+            mMesh.send(supervisor, advice);
+        }
+    }
+
+    boolean sendToPeer(InstanceId instance, Message message) {
+        return mMesh.send(instance, message);
+    }
+
+    private void handle(ControlEvent event) {
+        long nowNanos = mClock.nowNanos();
+        switch (event) {
+            case ControlEvent.LogFollowed followed -> onFollowed(followed.event(), nowNanos);
+            case ControlEvent.StateLoaded loaded -> onLoaded(loaded.state(), nowNanos);
+            case ControlEvent.WorkerLinkOpened opened ->
+                    mSupervisor.onLinkOpen(opened.worker(), nowNanos);
+            case ControlEvent.WorkerLinkClosed closed -> mSupervisor.onLinkLost(closed.worker());
+            case ControlEvent.WorkerSent sent ->
+                    mSupervisor.onMessage(sent.worker(), sent.message(), nowNanos);
+            case ControlEvent.PeerSent sent -> onPeer(sent.link(), sent.message(), nowNanos);
+            case ControlEvent.ListChanged changed -> onList(changed.list(), nowNanos);
+            case ControlEvent.Task task -> task.action().accept(this);
+        }
+    }
+
+    private void onFollowed(FollowEvent event, long nowNanos) {
+        switch (event) {
+            case FollowEvent.RecordRead read -> {
+                if (read.offset() >= mState.nextOffset()) {
+                    apply(read, nowNanos);
+                }
+            }
+            case FollowEvent.ReachedEnd end -> {
+                if (mState.nextOffset() >= end.endOffset()) {
+                    mIncarnation.monitor().onLogEnd(end.readStartedNanos());
+                    mSupervisor.onLogEnd(end.readStartedNanos());
+                    mDecisions.onLogEnd(end.readStartedNanos());
+                }
+            }
+            case FollowEvent.RetentionPassed passed -> {
+                LogEvent.LOG_UNAVAILABLE.log(passed.error().message());
+                mParts.reload().run();
+            }
+            case FollowEvent.ReadFailed failed -> {}
+        }
+    }
+
+    private void apply(FollowEvent.RecordRead read, long nowNanos) {
+        String place = Incarnation.CONTROL_STREAM + "@" + read.offset();
+        BatchCodec.decode(place, read.bytes())
+                .peek(batch -> apply(read.offset(), batch, nowNanos))
+                .peekLeft(
+                        error -> {
+                            LogEvent.RECORD_SKIPPED.log(error.message());
+                            mState.skip(read.offset());
+                        });
+        mSnapshots.onApplied(mState, mOwn);
+    }
+
+    private void apply(long offset, CommandBatch batch, long nowNanos) {
+        List<CommandResult> results = mState.apply(offset, batch);
+        boolean own =
+                batch.author().equals(mOwn) && batch.authorIncarnation() == mIncarnation.number();
+        if (own) {
+            mIncarnation.appender().confirmed(batch.sequence());
+        }
+        mIncarnation.monitor().onHeard(batch.author(), batch.authorIncarnation(), nowNanos);
+        for (CommandResult result : results) {
+            mDecisions.onResult(result);
+            onResult(result, own);
+        }
+        onMembers(nowNanos);
+        mSupervisor.onState(mState, results, nowNanos);
+    }
+
+    private void onResult(CommandResult result, boolean own) {
+        Command command = result.command();
+        CommandEvents.log(result, mState);
+        String commandId = CommandEvents.commandIdOf(command);
+        if (commandId != null) {
+            mRoutingDirty = true;
+            mHistory.record(result, mState.logTimeMillis());
+            if (own) {
+                mPending.complete(commandId, result, mState.verdicts());
+            }
+            return;
+        }
+        switch (command) {
+            case ChangeSlots change -> {
+                mRoutingDirty = true;
+                if (own) {
+                    mParts.slotUse().applied(mState.slots(), mOwn);
+                }
+            }
+            case TrustMember trust -> {
+                if (own && result.accepted()) {
+                    mIncarnation.monitor().onTrusted(trust.target(), trust.targetIncarnation());
+                }
+            }
+            default -> {}
+        }
+    }
+
+    private void onMembers(long nowNanos) {
+        mIncarnation.monitor().onMembers(mState.members(), nowNanos);
+        if (mState.members().epoch() == mKnownEpoch) {
+            return;
+        }
+        mKnownEpoch = mState.members().epoch();
+        mRoutingDirty = true;
+        mMesh.update(mState.members());
+        if (mIncarnation.wasRemoved() && !mLeavingNow) {
+            LogEvent.MEMBER_REMOVED.log(mOwn, mIncarnation.number(), mKnownEpoch);
+            rejoin(nowNanos);
+        }
+    }
+
+    private void rejoin(long nowNanos) {
+        mParts.slotUse().lose();
+        mIncarnation = mParts.appenders().begin(mParts.place());
+        mIncarnation.monitor().onMembers(mState.members(), nowNanos);
+        mDecisions.reset();
+        mFigureSequence = 0;
+    }
+
+    private void onLoaded(ClusterState state, long nowNanos) {
+        mState = state;
+        mKnownEpoch = -1;
+        onMembers(nowNanos);
+        mSupervisor.onState(mState, List.of(), nowNanos);
+        mDecisions.reset();
+        mRoutingDirty = true;
+    }
+
+    private void onPeer(Link link, PeerMessage message, long nowNanos) {
+        switch (message) {
+            case PeerPing ping -> {
+                boolean promise =
+                        mIncarnation
+                                .monitor()
+                                .onPing(ping.instance(), ping.incarnation(), nowNanos);
+                mSupervisor.onPeerOffset(ping.instance(), ping.logOffset(), nowNanos);
+                link.send(
+                        new PeerPong(
+                                mOwn,
+                                mIncarnation.number(),
+                                ping.ticketNanos(),
+                                promise,
+                                mState.nextOffset()));
+            }
+            case PeerPong pong -> {
+                mIncarnation
+                        .monitor()
+                        .onPong(
+                                pong.instance(),
+                                pong.incarnation(),
+                                pong.ticketNanos(),
+                                pong.promise(),
+                                nowNanos);
+                mSupervisor.onPeerOffset(pong.instance(), pong.logOffset(), nowNanos);
+            }
+            case AnswerQuery query -> AnswerQueries.answer(mParts.claims(), query, link);
+            case AnswerReply reply -> mParts.answers().onReply(reply);
+            case UsageReport report -> mUsage.add(report);
+            case TaskAdvice advice -> follow(advice);
+        }
+    }
+
+    private void follow(TaskAdvice advice) {
+        if (advice.throttlePercent() == 0) {
+            mSupervisor.requestCheckpoint(advice.worker(), advice.token());
+        } else {
+            mSupervisor.throttle(advice.worker(), advice.token(), advice.throttlePercent());
+        }
+    }
+
+    private void onList(InstanceList list, long nowNanos) {
+        Set<InstanceId> present = new HashSet<>();
+        list.ofKind(InstanceKind.ENTRY)
+                .forEach(entry -> InstanceId.parse(entry.id()).forEach(present::add));
+        if (!present.isEmpty()) {
+            mIncarnation
+                    .monitor()
+                    .onList(present, list.version(), nowNanos)
+                    .forEach(mIncarnation::offer);
+        }
+        Set<EndpointId> live = new HashSet<>();
+        SortedMap<WorkerId, String> addresses = new TreeMap<>(mParts.workerAddresses());
+        for (InstanceEntry entry : list.entries()) {
+            if (entry.kind() == InstanceKind.ENDPOINT && entry.state() == InstanceState.LIVE) {
+                EndpointId.parse(entry.id()).forEach(live::add);
+            } else if (entry.kind() == InstanceKind.WORKER) {
+                WorkerId.parse(entry.id()).forEach(id -> addresses.put(id, entry.address()));
+            }
+        }
+        mSupervisor.onAddresses(addresses, nowNanos);
+        mLive = live;
+        mRoutingDirty = true;
+    }
+
+    private Set<EndpointId> endpoints() {
+        return mState.config().configuration().endpoints().keySet();
+    }
+
+    private void tick(long nowNanos) {
+        boolean active = mIncarnation.monitor().active(nowNanos);
+        boolean changed = mActive.getAndSet(active) != active;
+        if (changed) {
+            (active ? LogEvent.MEMBER_ACTIVE : LogEvent.MEMBER_INACTIVE).log();
+        }
+        mIncarnation.monitor().tick(nowNanos).forEach(mIncarnation::offer);
+        if (mPeriods.mPing.due(nowNanos)) {
+            mMesh.broadcast(
+                    new PeerPing(mOwn, mIncarnation.number(), nowNanos, mState.nextOffset()));
+        }
+        supervise(nowNanos, active);
+        if (active && !mLeavingNow) {
+            mDecisions.run(mState, mUsage.take(mState), nowNanos, this);
+            planSlots(nowNanos);
+        }
+        if (mRoutingDirty || changed) {
+            publishRouting(active);
+        }
+        if (mPeriods.mExpiry.due(nowNanos)) {
+            mPending.expire(nowNanos);
+            mParts.claims().expire();
+            mParts.answers().expire();
+        }
+        renew(nowNanos);
+        if (mPeriods.mFigures.due(nowNanos)) {
+            reportFigures();
+        }
+    }
+
+    private void supervise(long nowNanos, boolean active) {
+        mWorkerLinks.update(mSupervisor.wantedLinks());
+        SupervisorOutput output = mSupervisor.tick(nowNanos, active);
+        output.messages()
+                .forEach(message -> mWorkerLinks.send(message.worker(), message.message()));
+        output.commands().forEach(mIncarnation::offer);
+        if (mPeriods.mUsage.due(nowNanos)) {
+            UsageReport report = mSupervisor.usage().takeChanged(true);
+            if (report.workers().isEmpty()) {
+                return;
+            }
+            mUsage.add(report);
+            mMesh.broadcast(report);
+        }
+    }
+
+    private void planSlots(long nowNanos) {
+        if (!mPeriods.mSlots.due(nowNanos)) {
+            return;
+        }
+        mDemand.sample(mParts.slotUse().usedInAll(), mParts.front().queuedCount(), nowNanos);
+        mSlotPlanner
+                .plan(mState, mParts.slotUse(), mLeaving, nowNanos)
+                .ifPresent(this::changeSlots);
+    }
+
+    private void changeSlots(ChangeSlots planned) {
+        ChangeSlots command = mParts.slotUse().begin(planned);
+        if (!command.changes().isEmpty() && !mIncarnation.offer(command)) {
+            mParts.slotUse().applied(mState.slots(), mOwn);
+        }
+    }
+
+    private void renew(long nowNanos) {
+        boolean due = mPeriods.mRenew.due(nowNanos);
+        long version = mState.config().version();
+        boolean demandChanged = mDemand.takeChange().isPresent();
+        if (!mIncarnation.monitor().member() || mLeavingNow || logDown()) {
+            return;
+        }
+        if (due || demandChanged || version != mRenewedConfigVersion) {
+            mRenewedConfigVersion = version;
+            mIncarnation.offer(new RenewMember(version, mDemand.published()));
+        }
+    }
+
+    private boolean logDown() {
+        return mIncarnation.appender().unavailable();
+    }
+
+    private void reportFigures() {
+        if (!mIncarnation.monitor().member()) {
+            return;
+        }
+        SortedMap<String, byte[]> histograms = mParts.latency().take();
+        if (!histograms.isEmpty()) {
+            mFigureSequence++;
+            mIncarnation.offer(new ReportFigures(mFigureSequence, histograms));
+        }
+    }
+
+    private void publishRouting(boolean active) {
+        mRoutingDirty = false;
+        Set<EndpointId> leaving = new HashSet<>(mLeaving);
+        Set<EndpointId> live = mParts.live().get();
+        if (!live.isEmpty()) {
+            endpoints().stream().filter(endpoint -> !live.contains(endpoint)).forEach(leaving::add);
+        }
+        mLeaving = leaving;
+        mParts.front().publish(RoutingView.from(mState, mOwn, leaving, active));
+    }
+
+    /** Gives back all idle slots and reports the last figures. */
+    void giveBackSlots() {
+        mLeavingNow = true;
+        reportFigures();
+        mSlotPlanner.giveBackAll(mState, mParts.slotUse()).ifPresent(this::changeSlots);
+    }
+
+    /** Tells whether a change of slots still waits to be read back. */
+    boolean slotsOutstanding() {
+        return mParts.slotUse().isOutstanding();
+    }
+
+    void leave() {
+        mLeavingNow = true;
+        mIncarnation.offer(new LeaveMember());
+    }
+
+    boolean member() {
+        return mIncarnation.monitor().member();
+    }
+
+    void closeLinks() {
+        mMesh.close();
+        mWorkerLinks.close();
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/RequestsFollower.java
@@ -0,0 +1,93 @@
+package org.hornbeamward.pgm.entry;
+
+import io.vavr.control.Either;
+import java.security.SecureRandom;
+import org.hornbeamward.errors.RingFull;
+import org.hornbeamward.event.LogEvent;
+import org.hornbeamward.kernel.Duty;
+import org.hornbeamward.lib.JitteredBackoff;
+import org.hornbeamward.lib.MonotonicClock;
+import org.hornbeamward.route.claim.ClaimDesk;
+import org.hornbeamward.route.claim.ClaimRecord;
+import org.hornbeamward.route.claim.ClaimTable;
+import org.hornbeamward.storage.log.FollowEvent;
+import org.hornbeamward.storage.log.LogClient;
+import org.hornbeamward.storage.log.StreamFollower;
+
+/** Follows the requests stream on its own thread and applies it to the claims. */
+final class RequestsFollower implements Duty {
+    static final String REQUESTS_STREAM = "requests";
+
+    private final ClaimDesk mDesk;
+    private final StreamFollower mFollower;
+    private final Runnable mReload;
+    private volatile long mNextOffset;
+    private volatile boolean mStarted;
+
+    RequestsFollower(LogClient log, ClaimDesk desk, MonotonicClock clock, Runnable reload) {
+        mDesk = desk;
+        mReload = reload;
+        mFollower =
+                new StreamFollower(
+                        log,
+                        REQUESTS_STREAM,
+                        0,
+                        this::take,
+                        new JitteredBackoff(new SecureRandom(), 250, 8_000),
+                        clock);
+    }
+
+    /** Replaces the claims and goes on from an offset. */
+    void restore(ClaimTable claims, long nextOffset) {
+        mDesk.restore(claims);
+        mNextOffset = nextOffset;
+        mFollower.resumeFrom(nextOffset);
+        mStarted = true;
+    }
+
+    long nextOffset() {
+        return mNextOffset;
+    }
+
+    byte[] encodeTable() {
+        return mDesk.encodeTable();
+    }
+
+    StreamFollower follower() {
+        return mFollower;
+    }
+
+    @Override
+    public String name() {
+        return "requests-read";
+    }
+
+    @Override
+    public void runOnce() throws InterruptedException {
+        if (!mStarted) {
+            Thread.sleep(5);
+            return;
+        }
+        mFollower.runOnce();
+    }
+
+    private Either<RingFull, Void> take(FollowEvent event) {
+        switch (event) {
+            case FollowEvent.RecordRead read -> apply(read);
+            case FollowEvent.RetentionPassed passed -> mReload.run();
+            case FollowEvent.ReachedEnd end -> {}
+            case FollowEvent.ReadFailed failed -> {}
+        }
+        return Either.right(null);
+    }
+
+    private void apply(FollowEvent.RecordRead read) {
+        if (read.offset() < mNextOffset) {
+            return;
+        }
+        ClaimRecord.decode(read.bytes(), REQUESTS_STREAM + "@" + read.offset())
+                .peek(mDesk::apply)
+                .peekLeft(error -> LogEvent.RECORD_SKIPPED.log(error.message()));
+        mNextOffset = read.offset() + 1;
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/SnapshotStep.java
@@ -0,0 +1,89 @@
+package org.hornbeamward.pgm.entry;
+
+import java.util.Optional;
+import java.util.Random;
+import java.util.UUID;
+import java.util.concurrent.atomic.AtomicReference;
+import org.hornbeamward.codec.Writer;
+import org.hornbeamward.event.LogEvent;
+import org.hornbeamward.kernel.Duty;
+import org.hornbeamward.lib.InstanceId;
+import org.hornbeamward.lib.JitteredBackoff;
+import org.hornbeamward.lib.RendezvousHash;
+import org.hornbeamward.state.ClusterState;
+import org.hornbeamward.state.StateSnapshot;
+import org.hornbeamward.storage.log.LogClient;
+import org.hornbeamward.storage.snapshot.SnapshotPublisher;
+
+/**
+ * Publishes snapshots. The control duty encodes the state at fixed offsets, on the one member that
+ * the rendezvous hash names; this duty's thread writes the bytes to the log.
+ */
+final class SnapshotStep implements Duty {
+    static final String SNAPSHOT_STREAM = "snapshots";
+    private static final long IDLE_MILLIS = 50;
+    private static final int ATTEMPT_COUNT = 20;
+
+    private final LogClient mLog;
+    private final RequestsFollower mRequests;
+    private final long mIntervalRecordCount;
+    private final AtomicReference<Encoded> mNext = new AtomicReference<>();
+
+    private record Encoded(
+            long controlOffset, long requestsOffset, byte[] bytes, long stateDigest) {}
+
+    SnapshotStep(LogClient log, RequestsFollower requests, long intervalRecordCount) {
+        mLog = log;
+        mRequests = requests;
+        mIntervalRecordCount = intervalRecordCount;
+    }
+
+    /** Encodes the state if a snapshot is due at this offset. Called by the control duty. */
+    void onApplied(ClusterState state, InstanceId own) {
+        if (state.nextOffset() % mIntervalRecordCount != 0) {
+            return;
+        }
+        Optional<InstanceId> writer =
+                RendezvousHash.pick("snapshot", state.members().all().keySet());
+        if (!writer.equals(Optional.of(own))) {
+            return;
+        }
+        // The offset is read first: applying a claim record twice has no effect.
+        long requestsOffset = mRequests.nextOffset();
+        byte[] control = StateSnapshot.encode(state);
+        byte[] claims = mRequests.encodeTable();
+        byte[] both = new Writer().array(2).bytes(control).bytes(claims).toBytes();
+        mNext.set(
+                new Encoded(
+                        state.nextOffset(), requestsOffset, both, StateSnapshot.digest(control)));
+    }
+
+    @Override
+    public String name() {
+        return "snapshot";
+    }
+
+    @Override
+    public void runOnce() throws InterruptedException {
+        Encoded snapshot = mNext.getAndSet(null);
+        if (snapshot == null) {
+            Thread.sleep(IDLE_MILLIS);
+            return;
+        }
+        String id = UUID.randomUUID().toString();
+        new SnapshotPublisher(
+                        mLog,
+                        SNAPSHOT_STREAM,
+                        new JitteredBackoff(new Random(), 250, 8_000),
+                        ATTEMPT_COUNT)
+                .setSnapshotId(id)
+                .setOffsets(snapshot.controlOffset(), snapshot.requestsOffset())
+                .setState(snapshot.bytes(), snapshot.stateDigest())
+                .call()
+                .peek(
+                        manifest ->
+                                LogEvent.SNAPSHOT_PUBLISHED.log(
+                                        id, snapshot.controlOffset(), snapshot.bytes().length))
+                .peekLeft(error -> LogEvent.LOG_UNAVAILABLE.log(error.message()));
+    }
+}
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/WorkerSupervisor.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/WorkerSupervisor.java
@@ -23,6 +23,7 @@
 import org.hornbeamward.state.CommandResult;
 import org.hornbeamward.state.Member;
 import org.hornbeamward.state.TaskState;
+import org.hornbeamward.transport.message.CheckpointTask;
 import org.hornbeamward.transport.message.EndedTask;
 import org.hornbeamward.transport.message.Heartbeat;
 import org.hornbeamward.transport.message.HeartbeatAck;
@@ -250,6 +251,20 @@
         }
     }
 
+    /**
+     * Asks for a checkpoint of a running task. Has no effect unless this instance supervises the
+     * worker.
+     *
+     * @param worker the worker
+     * @param token token of the task's placement
+     */
+    public void requestCheckpoint(WorkerId worker, long token) {
+        WorkerSession session = mSessions.get(worker);
+        if (session != null && session.mRunning.containsKey(token)) {
+            mView.send(worker, new CheckpointTask(mView.epoch(), token));
+        }
+    }
+
     private void markDirty(Command command) {
         switch (command) {
             case PlaceTask place -> markDirty(place.worker());
--- a/org.hornbeamward.transport.test/tst/org/hornbeamward/transport/message/MessageCodecTest.java
+++ b/org.hornbeamward.transport.test/tst/org/hornbeamward/transport/message/MessageCodecTest.java
@@ -59,7 +59,8 @@
                     new Refusal(TOKEN, RefusalReason.OLD_TICKET, 8),
                     new PeerPing(INSTANCE, 1, -2, 3),
                     new PeerPong(INSTANCE, 1, 2, true, 3),
-                    new AnswerQuery(1, -1, Long.MIN_VALUE),
+                    new AnswerQuery(1, 2, 3, 4, -1, Long.MIN_VALUE),
+                    new TaskAdvice(new WorkerId("w-1"), 7, 50),
                     new UsageReport(
                             List.of(new WorkerSamples(new WorkerId("w"), 4, 5, List.of(SAMPLE)))));
 
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/message/MessageReader.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/MessageReader.java
@@ -37,9 +37,11 @@
             case MessageType.PEER_PING -> new PeerPing(instance(), number(), number(), number());
             case MessageType.PEER_PONG ->
                     new PeerPong(instance(), number(), number(), flag(), number());
-            case MessageType.ANSWER_QUERY -> new AnswerQuery(number(), number(), number());
+            case MessageType.ANSWER_QUERY ->
+                    new AnswerQuery(number(), number(), number(), number(), number(), number());
             case MessageType.ANSWER_REPLY -> readReply();
             case MessageType.USAGE_REPORT -> new UsageReport(list(this::workerSamples));
+            case MessageType.TASK_ADVICE -> new TaskAdvice(worker(), number(), integer());
             default -> throw new MalformedMessageException("message type " + type + " is unknown");
         };
     }
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/message/MessageType.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/MessageType.java
@@ -17,6 +17,7 @@
     static final int ANSWER_QUERY = 22;
     static final int ANSWER_REPLY = 23;
     static final int USAGE_REPORT = 24;
+    static final int TASK_ADVICE = 25;
 
     private MessageType() {}
 }
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/message/PeerMessageWriter.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/PeerMessageWriter.java
@@ -29,10 +29,18 @@
                     longs(
                             MessageType.ANSWER_QUERY,
                             query.requestId(),
+                            query.incarnation(),
+                            query.sequence(),
+                            query.remainingMillis(),
                             query.keyHashHigh(),
                             query.keyHashLow());
             case AnswerReply reply -> writeReply(reply);
             case UsageReport report -> writeUsage(report);
+            case TaskAdvice advice -> {
+                longs(MessageType.TASK_ADVICE);
+                text(advice.worker().value());
+                longs(advice.token(), advice.throttlePercent());
+            }
         }
     }
 
