--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/cli/AdminClient.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/cli/AdminClient.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.ConnectException;
+import java.net.UnknownHostException;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -112,7 +113,8 @@
             return answered(request.execute().get(), lost);
         } catch (ExecutionException e) {
             Throwable cause = e.getCause();
-            boolean notSent = cause instanceof ConnectException;
+            boolean notSent =
+                    cause instanceof ConnectException || cause instanceof UnknownHostException;
             return failed(notSent ? ExitCodes.UNREACHABLE : lost, String.valueOf(cause));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/questionnaire/Generator.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/questionnaire/Generator.java
@@ -139,7 +139,9 @@
         value.set("resources", JobSpecJson.writeResources(Capacity.ofTask(service)));
         value.put("agreedPeriodMillis", service.agreedPeriodMillis());
         return entry.from("id, className", path + ".name")
-                .fromSameKeys(path, "team", "taskCount", "resources", "agreedPeriodMillis");
+                .from("kind", "the section services")
+                .from("resources", path + ".cpuMillicores and .memoryMib")
+                .fromSameKeys(path, "team", "taskCount", "agreedPeriodMillis");
     }
 
     private GeneratedEntry batchJob(int index) {
@@ -157,7 +159,9 @@
         value.put("checkpointable", job.checkpointable());
         value.put("expectedRunMillis", job.expectedRunMinutes() * MILLIS_PER_MINUTE);
         return entry.from("id, className", path + ".name")
-                .fromSameKeys(path, "team", "taskCount", "resources", "urgent", "checkpointable")
+                .from("kind", "the section batchJobs")
+                .from("resources", path + ".cpuMillicores, .memoryMib and .acceleratorCount")
+                .fromSameKeys(path, "team", "taskCount", "urgent", "checkpointable")
                 .from("expectedRunMillis", path + ".expectedRunMinutes");
     }
 }
