Report a partly done submission as unknown and write views off the log thread

Cause: job submit of several jobs ended with exit code 4, nothing changed, after some were submitted; large views were written on the thread that applies the log.

--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/admin/AdminRoutes.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/admin/AdminRoutes.java
@@ -47,8 +47,9 @@
 
     private static AdminRoute view(
             String path, Supplier<CompletionStage<Either<HornbeamwardError, JsonNode>>> view) {
+        // Views complete on the thread that applies the log; writing large ones must not delay it.
         return AdminRoute.fixed(
-                "GET", path, (call, id) -> view.get().thenApply(AdminRoutes::answer));
+                "GET", path, (call, id) -> view.get().thenApplyAsync(AdminRoutes::answer));
     }
 
     private CompletionStage<HttpReply> publish(HttpCall call, String id) {
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/cli/JobSubmitVerb.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/cli/JobSubmitVerb.java
@@ -75,9 +75,12 @@
             if (result.isLeft()) {
                 CliFailure failure = result.getLeft();
                 String before = lines.isEmpty() ? "" : String.join("; ", lines) + "; then ";
+                // With earlier jobs submitted, "nothing changed" would be false; a repeat with
+                // the same command id submits only the rest.
+                boolean partly = !lines.isEmpty() && failure.exitCode() == ExitCodes.UNREACHABLE;
                 return Either.left(
                         new CliFailure(
-                                failure.exitCode(),
+                                partly ? ExitCodes.OUTCOME_UNKNOWN : failure.exitCode(),
                                 failure.kind(),
                                 before + "job " + job.id() + ": " + failure.message()));
             }
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/cli/ReviewVerb.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/cli/ReviewVerb.java
@@ -31,6 +31,7 @@
 
     @Option(
             names = "--format",
+            paramLabel = "FORMAT",
             defaultValue = "table",
             description = "one of table, csv, json, html (default ${DEFAULT-VALUE})")
     private Format mFormat = Format.TABLE;
