--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/WorkerSession.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/WorkerSession.java
@@ -25,6 +25,10 @@
     boolean mLinkUp;
     @Nullable WorkerStatus mStatus;
     long mStatusCount;
+
+    /** Incarnation of the last status, also of a former link. */
+    @Nullable Long mIncarnation;
+
     long mHeardNanos;
     long mRefusedEpoch;
     boolean mDirty = true;
@@ -82,11 +86,12 @@
     }
 
     void onStatus(WorkerStatus status, long nowNanos) {
-        if (mStatus != null && mStatus.incarnation() != status.incarnation()) {
+        if (mIncarnation == null || mIncarnation != status.incarnation()) {
             mTickets.clear();
             mContacts.clear();
             mRegisterNanos = null;
         }
+        mIncarnation = status.incarnation();
         mStatus = status;
         mStatusCount++;
         mWantsStatus = false;
