Add the read interval of the follower and a measurement of appends

Cause: each long poll costs about 200 bytes besides its records, and a member's HTTP traffic to the log was above the budget of 11 KB/s. Change: StreamFollower can wait between two reads that reached the end; MeasureAppendsMain measures batches and bytes; the proxy counts bytes; a list with a lower version names its remedy. Traffic depends on the read interval, which the caller chooses.

--- /dev/null
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/log/MeasureAppendsMain.java
@@ -0,0 +1,187 @@
+package org.hornbeamward.standin.log;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.hornbeamward.kernel.Kernel;
+import org.hornbeamward.lib.JitteredBackoff;
+import org.hornbeamward.lib.MonotonicClock;
+import org.hornbeamward.standin.proxy.ProxyStandIn;
+import org.hornbeamward.storage.log.BatchAppender;
+import org.hornbeamward.storage.log.HttpLogClient;
+import org.hornbeamward.storage.log.StreamFollower;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/**
+ * Measures batches appended through {@link BatchAppender} and read by one {@link StreamFollower}
+ * per instance against the log stand-in in the same process. All HTTP passes a proxy, which counts
+ * the bytes. Commands are opaque bytes of a fixed size, offered at random times by a seed.
+ */
+@Command(
+        name = "measure-appends",
+        mixinStandardHelpOptions = true,
+        description = "Measures batches and bytes per appended command; prints JSON.")
+public final class MeasureAppendsMain implements Callable<Integer> {
+    private static final int RING_COUNT = 65_536;
+    private static final int TIMEOUT_MILLIS = 2_000;
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    @Option(names = "--instances", defaultValue = "8", description = "Appending instances.")
+    private int mInstanceCount;
+
+    @Option(names = "--rate", defaultValue = "46", description = "Commands a second in all.")
+    private int mCommandsPerSecond;
+
+    @Option(names = "--command-bytes", defaultValue = "100", description = "Size of a command.")
+    private int mCommandBytes;
+
+    @Option(names = "--group-millis", defaultValue = "20", description = "Collecting time.")
+    private int mGroupMillis;
+
+    @Option(names = "--read-interval-millis", defaultValue = "0", description = "See follower.")
+    private int mReadIntervalMillis;
+
+    @Option(names = "--seconds", defaultValue = "10", description = "Length of the run.")
+    private int mSeconds;
+
+    @Option(names = "--seed", defaultValue = "1", description = "Seed of the arrival times.")
+    private long mSeed;
+
+    private final List<BatchAppender<byte[]>> mAppenders = new ArrayList<>();
+    private final List<StreamFollower> mFollowers = new ArrayList<>();
+
+    /** Creates the command; picocli fills its options. */
+    public MeasureAppendsMain() {}
+
+    /**
+     * Starts the program.
+     *
+     * @param arguments options as listed by {@code --help}
+     */
+    public static void main(String[] arguments) {
+        System.exit(new CommandLine(new MeasureAppendsMain()).execute(arguments));
+    }
+
+    @Override
+    public Integer call() throws InterruptedException {
+        try (LogStandIn log = new LogStandIn(0);
+                ProxyStandIn proxy = new ProxyStandIn(0, 0, new InetSocketAddress(log.port()));
+                HttpLogClient client =
+                        new HttpLogClient("127.0.0.1", proxy.port(), TIMEOUT_MILLIS);
+                Kernel kernel = new Kernel()) {
+            SplittableRandom random = new SplittableRandom(mSeed);
+            for (int i = 0; i < mInstanceCount; i++) {
+                addInstance(client, kernel, random.split());
+            }
+            long startedNanos = System.nanoTime();
+            long[] counts = offer(random, startedNanos);
+            while (mAppenders.stream().anyMatch(appender -> appender.queueDepth() > 0)) {
+                Thread.sleep(1);
+            }
+            long tookNanos = System.nanoTime() - startedNanos;
+            System.out.println(report(counts, tookNanos, proxy.receivedBytes()));
+        }
+        return 0;
+    }
+
+    private void addInstance(HttpLogClient client, Kernel kernel, SplittableRandom random) {
+        BatchAppender<byte[]> appender =
+                new BatchAppender<>(
+                        client,
+                        "control",
+                        RING_COUNT,
+                        mGroupMillis,
+                        MeasureAppendsMain::encode,
+                        (command, error) -> System.err.println(error.message()),
+                        new JitteredBackoff(random, 250, 8_000),
+                        MonotonicClock.SYSTEM);
+        StreamFollower follower =
+                new StreamFollower(
+                        client,
+                        "control",
+                        0,
+                        event -> io.vavr.control.Either.right(null),
+                        new JitteredBackoff(random.split(), 250, 8_000),
+                        MonotonicClock.SYSTEM,
+                        mReadIntervalMillis);
+        mAppenders.add(appender);
+        mFollowers.add(follower);
+        kernel.start(appender);
+        kernel.start(follower);
+    }
+
+    /** Offers commands with exponential gaps; returns how many were accepted and refused. */
+    private long[] offer(SplittableRandom random, long startedNanos) {
+        byte[] command = new byte[mCommandBytes];
+        long[] counts = new long[2];
+        long lengthNanos = TimeUnit.SECONDS.toNanos(mSeconds);
+        double dueNanos = 0;
+        while (true) {
+            dueNanos += -Math.log(1 - random.nextDouble()) * 1e9 / mCommandsPerSecond;
+            if (dueNanos >= lengthNanos) {
+                return counts;
+            }
+            long waitNanos = startedNanos + (long) dueNanos - System.nanoTime();
+            while (waitNanos > 0) {
+                LockSupport.parkNanos(waitNanos);
+                waitNanos = startedNanos + (long) dueNanos - System.nanoTime();
+            }
+            int instance = random.nextInt(mInstanceCount);
+            counts[mAppenders.get(instance).offer(command).isRight() ? 0 : 1]++;
+        }
+    }
+
+    private String report(long[] counts, long tookNanos, long wireBytes) {
+        double seconds = tookNanos / 1e9;
+        long batches = mAppenders.stream().mapToLong(BatchAppender::batchCount).sum();
+        long bytes = mAppenders.stream().mapToLong(BatchAppender::byteCount).sum();
+        ObjectNode report = JSON.createObjectNode();
+        report.put("instances", mInstanceCount);
+        report.put("seed", mSeed);
+        report.put("readIntervalMillis", mReadIntervalMillis);
+        report.put("seconds", seconds);
+        report.put("commands", counts[0]);
+        report.put("refused", counts[1]);
+        report.put("appendsPerSecond", batches / seconds);
+        report.put("commandsPerSecond", counts[0] / seconds);
+        report.put("recordsPerCommand", (double) batches / Math.max(1, counts[0]));
+        report.put("recordBytesPerCommand", (double) bytes / Math.max(1, counts[0]));
+        report.put("httpBytesPerInstanceAndSecond", wireBytes / seconds / mInstanceCount);
+        report.put("resends", mAppenders.stream().mapToLong(BatchAppender::resendCount).sum());
+        report.put(
+                "recordsReadByAll",
+                mFollowers.stream().mapToLong(StreamFollower::recordCount).sum());
+        return report.toPrettyString();
+    }
+
+    /** Encodes a batch with the header fields of section 3.2 of the design. */
+    private static byte[] encode(long sequence, List<byte[]> commands) {
+        try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packArrayHeader(6);
+            packer.packInt(1);
+            packer.packString("kigali-1-entry-1");
+            packer.packLong(1_780_000_000_000L);
+            packer.packLong(sequence);
+            packer.packLong(System.currentTimeMillis());
+            packer.packArrayHeader(commands.size());
+            for (byte[] command : commands) {
+                packer.packBinaryHeader(command.length);
+                packer.writePayload(command);
+            }
+            return packer.toByteArray();
+        } catch (IOException e) {
+            throw new java.io.UncheckedIOException(e);
+        }
+    }
+}
--- a/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyConnection.java
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyConnection.java
@@ -69,7 +69,9 @@
 
         @Override
         public void channelRead(ChannelHandlerContext context, Object message) {
-            forward(mFromClient, (ByteBuf) message);
+            ByteBuf bytes = (ByteBuf) message;
+            mProxy.received(bytes.readableBytes());
+            forward(mFromClient, bytes);
         }
 
         @Override
--- a/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyStandIn.java
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyStandIn.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.LongAdder;
 import org.hornbeamward.standin.events.EventRecorder;
 import org.hornbeamward.standin.events.FaultJson;
 import org.hornbeamward.transport.http.HttpCall;
@@ -42,6 +43,7 @@
     private final EventRecorder mEvents = new EventRecorder();
     private final EventLoopGroup mLoops = new NioEventLoopGroup(1);
     private final Set<ProxyConnection> mConnections = ConcurrentHashMap.newKeySet();
+    private final LongAdder mReceivedBytes = new LongAdder();
     private final InetSocketAddress mTarget;
     private final Channel mListener;
     private final HttpServer mControl;
@@ -128,6 +130,19 @@
         }
     }
 
+    /**
+     * Returns the bytes received from clients and from the target.
+     *
+     * @return bytes above TCP, in both directions together
+     */
+    public long receivedBytes() {
+        return mReceivedBytes.sum();
+    }
+
+    void received(int bytes) {
+        mReceivedBytes.add(bytes);
+    }
+
     synchronized boolean takeCut() {
         ProxyFaults faults = mFaults;
         boolean cut = faults.cutFraction() > 0 && mRandom.nextDouble() < faults.cutFraction();
--- a/org.hornbeamward.storage.test/tst/org/hornbeamward/storage/log/StreamFollowerTest.java
+++ b/org.hornbeamward.storage.test/tst/org/hornbeamward/storage/log/StreamFollowerTest.java
@@ -171,9 +171,29 @@
         assertEquals(1, mEvents.size());
     }
 
+    @Test
+    void readIntervalDelaysOnlyReadsAfterTheEndWasReached() throws InterruptedException {
+        AtomicLong nowNanos = new AtomicLong(1_000);
+        CompletableFuture<Either<HornbeamwardError, LogRead>> answer = new CompletableFuture<>();
+        SingleReadLog log = new SingleReadLog(answer);
+        JitteredBackoff backoff = new JitteredBackoff(new Random(5), 2, 20);
+        StreamFollower follower =
+                new StreamFollower(log, "control", 0, this::keep, backoff, nowNanos::get, 50);
+        follower.runOnce();
+        answer.complete(Either.right(new LogRead(0, 0, List.of())));
+        for (int i = 0; i < 5; i++) {
+            follower.runOnce();
+        }
+        assertEquals(1, log.mReadCount);
+        nowNanos.addAndGet(50_000_000);
+        follower.runOnce();
+        assertEquals(2, log.mReadCount);
+    }
+
     /** Answers the first read with a future of the test and no further one. */
     private static final class SingleReadLog implements LogClient {
         private CompletableFuture<Either<HornbeamwardError, LogRead>> mNext;
+        private int mReadCount;
 
         SingleReadLog(CompletableFuture<Either<HornbeamwardError, LogRead>> first) {
             mNext = first;
@@ -188,6 +208,7 @@
         @Override
         public CompletableFuture<Either<HornbeamwardError, LogRead>> read(
                 String stream, long fromOffset, int waitMillis, int maxBytes) {
+            mReadCount++;
             CompletableFuture<Either<HornbeamwardError, LogRead>> answer = mNext;
             mNext = new CompletableFuture<>();
             return answer;
--- a/org.hornbeamward.storage/src/org/hornbeamward/storage/list/InstanceListPoller.java
+++ b/org.hornbeamward.storage/src/org/hornbeamward/storage/list/InstanceListPoller.java
@@ -13,7 +13,6 @@
 import org.hornbeamward.errors.HornbeamwardError;
 import org.hornbeamward.errors.InvalidSetting;
 import org.hornbeamward.errors.PeerUnreachable;
-import org.hornbeamward.errors.VersionConflict;
 import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.kernel.Duty;
 import org.hornbeamward.lib.MonotonicClock;
@@ -172,16 +171,24 @@
 
     private static Either<HornbeamwardError, InstanceList> refuseEmpty(InstanceList list) {
         return list.entries().isEmpty()
-                ? Either.left(new InvalidSetting("instances", "expected at least one instance"))
+                ? Either.left(
+                        new InvalidSetting(
+                                "instances",
+                                "expected at least one; check the platform's list service"))
                 : Either.right(list);
     }
 
     private static Either<HornbeamwardError, InstanceList> refuseOlder(
             InstanceList list, @Nullable Accepted last) {
-        return last != null && list.version() < last.list().version()
-                ? Either.left(
-                        new VersionConflict("instance list", list.version(), last.list().version()))
-                : Either.right(list);
+        if (last == null || list.version() >= last.list().version()) {
+            return Either.right(list);
+        }
+        String detail =
+                list.version()
+                        + " is lower than "
+                        + last.list().version()
+                        + " seen before; check the platform's list service";
+        return Either.left(new InvalidSetting("version", detail));
     }
 
     private HornbeamwardError unreachable(String detail) {
--- a/org.hornbeamward.storage/src/org/hornbeamward/storage/log/StreamFollower.java
+++ b/org.hornbeamward.storage/src/org/hornbeamward/storage/log/StreamFollower.java
@@ -20,8 +20,12 @@
  * the reading and memory stays bounded by one answer.
  */
 public final class StreamFollower implements Duty {
-    // Below 500 ms with room for the response, since members must see the end that often.
-    private static final int LONG_POLL_MILLIS = 400;
+    /** Longest time in milliseconds that can be set between the starts of two reads. */
+    public static final int MAX_READ_INTERVAL_MILLIS = 100;
+
+    // With the longest interval this is below 500 ms with room for the response, since members must
+    // see the end of the log that often.
+    private static final int LONG_POLL_MILLIS = 380;
     private static final int READ_BYTES = 512 * 1024;
     private static final long MAX_PARK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     private static final long SINK_FULL_PARK_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
@@ -32,6 +36,7 @@
     private final FollowSink mSink;
     private final JitteredBackoff mBackoff;
     private final MonotonicClock mClock;
+    private final long mReadIntervalNanos;
     private final LogHealth mHealth = new LogHealth();
     private final ArrayDeque<FollowEvent> mUndelivered = new ArrayDeque<>();
     private final AtomicLong mResumeOffset = new AtomicLong(NO_RESUME);
@@ -42,8 +47,8 @@
 
     private long mNextOffset;
     private long mReadStartedNanos;
-    private long mRetryAtNanos;
-    private boolean mWaitingForRetry;
+    private long mNextReadNanos;
+    private boolean mWaitingForRead;
     private boolean mBehindRetention;
     private @Nullable CompletableFuture<Either<HornbeamwardError, LogRead>> mAnswer;
 
@@ -64,6 +69,36 @@
             FollowSink sink,
             JitteredBackoff backoff,
             MonotonicClock clock) {
+        this(log, stream, fromOffset, sink, backoff, clock, 0);
+    }
+
+    /**
+     * Creates a follower that reads at most once per interval. Each read costs some 200 bytes
+     * besides its records, so an interval saves traffic on a busy stream; a record that arrives on
+     * an idle stream is not delayed.
+     *
+     * @param log the log service
+     * @param stream name of the stream
+     * @param fromOffset offset of the first record
+     * @param sink takes the events on the follower's thread
+     * @param backoff waits between failed reads; used by the follower's thread only
+     * @param clock the monotonic clock
+     * @param readIntervalMillis least time from the start of a read that reached the end to the
+     *     start of the next one, 0 to {@link #MAX_READ_INTERVAL_MILLIS}
+     */
+    public StreamFollower(
+            LogClient log,
+            String stream,
+            long fromOffset,
+            FollowSink sink,
+            JitteredBackoff backoff,
+            MonotonicClock clock,
+            int readIntervalMillis) {
+        if (readIntervalMillis < 0 || readIntervalMillis > MAX_READ_INTERVAL_MILLIS) {
+            throw new IllegalArgumentException(
+                    "readIntervalMillis must be 0 to " + MAX_READ_INTERVAL_MILLIS);
+        }
+        mReadIntervalNanos = TimeUnit.MILLISECONDS.toNanos(readIntervalMillis);
         mLog = log;
         mStream = stream;
         mNextOffset = fromOffset;
@@ -151,7 +186,7 @@
         mUndelivered.clear();
         mAnswer = null;
         mBehindRetention = false;
-        mWaitingForRetry = false;
+        mWaitingForRead = false;
     }
 
     private boolean deliver() {
@@ -167,11 +202,11 @@
 
     private void startRead() {
         long nowNanos = mClock.nowNanos();
-        if (mWaitingForRetry && mRetryAtNanos - nowNanos > 0) {
-            LockSupport.parkNanos(this, Math.min(mRetryAtNanos - nowNanos, MAX_PARK_NANOS));
+        if (mWaitingForRead && mNextReadNanos - nowNanos > 0) {
+            LockSupport.parkNanos(this, Math.min(mNextReadNanos - nowNanos, MAX_PARK_NANOS));
             return;
         }
-        mWaitingForRetry = false;
+        mWaitingForRead = false;
         mReadStartedNanos = nowNanos;
         CompletableFuture<Either<HornbeamwardError, LogRead>> answer =
                 mLog.read(mStream, mNextOffset, LONG_POLL_MILLIS, READ_BYTES);
@@ -202,6 +237,8 @@
         mNextOffset = read.nextOffset(mNextOffset);
         if (mNextOffset >= read.endOffset()) {
             mUndelivered.add(new FollowEvent.ReachedEnd(mReadStartedNanos, read.endOffset()));
+            mWaitingForRead = mReadIntervalNanos > 0;
+            mNextReadNanos = mReadStartedNanos + mReadIntervalNanos;
         }
     }
 
@@ -212,8 +249,8 @@
             return;
         }
         mHealth.failed(error);
-        mWaitingForRetry = true;
-        mRetryAtNanos =
+        mWaitingForRead = true;
+        mNextReadNanos =
                 mClock.nowNanos() + TimeUnit.MILLISECONDS.toNanos(mBackoff.nextWaitMillis());
         mUndelivered.add(new FollowEvent.ReadFailed(error));
     }
