--- /dev/null
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/limits/VirtualEndpoint.java
@@ -0,0 +1,51 @@
+package org.hornbeamward.bench.limits;
+
+import java.util.Random;
+import java.util.function.IntConsumer;
+
+/** An endpoint that runs whatever it gets and counts how much at once. */
+final class VirtualEndpoint {
+    private static final double SIGMA = 0.5;
+    private static final double FAILURE_SHARE = 0.1;
+    private static final int OK = 200;
+    private static final int FAILED = 500;
+
+    private final VirtualTime mTime;
+    private final Random mRandom;
+    private final double mMedianNanos;
+    private int mRunningCount;
+    int mMostRunningCount;
+    boolean mFailing;
+    double mSlowFactor = 1;
+
+    VirtualEndpoint(VirtualTime time, Random random, double medianNanos) {
+        mTime = time;
+        mRandom = random;
+        mMedianNanos = medianNanos;
+    }
+
+    int runningCount() {
+        return mRunningCount;
+    }
+
+    /** Runs a request; a failing endpoint answers 500 in a tenth of its usual time. */
+    void run(IntConsumer answer) {
+        mRunningCount++;
+        mMostRunningCount = Math.max(mMostRunningCount, mRunningCount);
+        boolean failing = mFailing;
+        double nanos =
+                mMedianNanos
+                        * Math.exp(SIGMA * mRandom.nextGaussian())
+                        * (failing ? FAILURE_SHARE : mSlowFactor);
+        mTime.after(
+                (long) nanos,
+                () -> {
+                    mRunningCount--;
+                    answer.accept(failing ? FAILED : OK);
+                });
+    }
+
+    static double meanFactor() {
+        return Math.exp(SIGMA * SIGMA / 2);
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/limits/package-info.java
@@ -0,0 +1,5 @@
+/** Measures slots, retries and load shedding on a virtual clock. */
+@NullMarked
+package org.hornbeamward.bench.limits;
+
+import org.jspecify.annotations.NullMarked;
--- a/org.hornbeamward.route.test/tst/org/hornbeamward/route/retry/RetryTest.java
+++ b/org.hornbeamward.route.test/tst/org/hornbeamward/route/retry/RetryTest.java
@@ -9,6 +9,7 @@
 
 /** Guards against retries and ejections that make an outage worse. */
 class RetryTest {
+    private static final int FAILURE_COUNT = 3;
     private static final long SECOND = 1_000_000_000L;
 
     @Test
@@ -24,7 +25,7 @@
 
     @Test
     void atMostAThirdOfEndpointsIsEjected() {
-        EndpointHealth health = new EndpointHealth();
+        EndpointHealth health = new EndpointHealth(FAILURE_COUNT);
         int ejected = 0;
         for (int index = 0; index < 7; index++) {
             EndpointId endpoint = new EndpointId("e" + index);
@@ -38,9 +39,9 @@
 
     @Test
     void ejectionEndsAndTheNextFailureEjectsForLonger() {
-        EndpointHealth health = new EndpointHealth();
+        EndpointHealth health = new EndpointHealth(FAILURE_COUNT);
         EndpointId endpoint = new EndpointId("e");
-        for (int failure = 0; failure < EndpointHealth.FAILURE_COUNT; failure++) {
+        for (int failure = 0; failure < FAILURE_COUNT; failure++) {
             assertFalse(health.isEjected(endpoint, 0));
             health.failed(endpoint, 9, 0);
         }
@@ -54,7 +55,7 @@
 
     @Test
     void requestThatWouldWaitPastItsDeadlineIsRefusedAtOnce() {
-        Admission admission = new Admission(100);
+        Admission admission = new Admission(100, true);
         admission.sample(SECOND);
         assertTrue(admission.admits(3, 4, 2 * SECOND));
         assertFalse(admission.admits(4, 4, 2 * SECOND));
--- /dev/null
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/AttemptSender.java
@@ -0,0 +1,20 @@
+package org.hornbeamward.route.front;
+
+import java.util.concurrent.CompletionStage;
+import org.hornbeamward.transport.http.HttpCall;
+
+/** Sends single attempts to endpoints. */
+@FunctionalInterface
+public interface AttemptSender {
+    /**
+     * Sends one attempt.
+     *
+     * @param address host:port of the endpoint
+     * @param call the caller's request
+     * @param remainingMillis time told to the endpoint
+     * @param longestMillis time after which the connection is closed
+     * @return the result; never a failed stage
+     */
+    CompletionStage<SendResult> send(
+            String address, HttpCall call, long remainingMillis, long longestMillis);
+}
--- a/org.hornbeamward.route/src/org/hornbeamward/route/front/EndpointClient.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/EndpointClient.java
@@ -25,7 +25,7 @@
  * Sends single attempts to endpoints. A connection carries one request at a time. It is closed
  * unless the whole answer was read, so that no answer can meet another request.
  */
-final class EndpointClient implements AutoCloseable {
+final class EndpointClient implements AttemptSender, AutoCloseable {
     /** Shorter than the usual idle timeouts of servers, so that few sends meet a closed one. */
     private static final Duration IDLE = Duration.ofSeconds(2);
 
@@ -55,16 +55,8 @@
                                 .build());
     }
 
-    /**
-     * Sends one attempt.
-     *
-     * @param address host:port
-     * @param call the caller's request
-     * @param remainingMillis time told to the endpoint
-     * @param longestMillis time after which the connection is closed
-     * @return the result; never a failed stage
-     */
-    CompletionStage<SendResult> send(
+    @Override
+    public CompletionStage<SendResult> send(
             String address, HttpCall call, long remainingMillis, long longestMillis) {
         Handler handler = new Handler();
         try {
--- a/org.hornbeamward.route/src/org/hornbeamward/route/front/Front.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/Front.java
@@ -5,14 +5,17 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.vavr.control.Either;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
 import org.hornbeamward.lib.MonotonicClock;
 import org.hornbeamward.route.claim.ClaimDesk;
 import org.hornbeamward.route.claim.ClaimKey;
 import org.hornbeamward.route.claim.RequestOutcome;
+import org.hornbeamward.route.retry.RetryPolicy;
 import org.hornbeamward.route.slot.SlotUse;
 import org.hornbeamward.transport.http.HttpCall;
 import org.hornbeamward.transport.http.HttpHandler;
@@ -41,6 +44,7 @@
     private final Timer mTimer =
             new HashedWheelTimer(
                     new DefaultThreadFactory("front-timer", true), 2, TimeUnit.MILLISECONDS);
+    private final RandomGenerator mRandom = new Random();
     private final Map<String, ServiceLane> mLanes = new ConcurrentHashMap<>();
     private volatile RoutingView mView = RoutingView.NONE;
     private volatile boolean mClosed;
@@ -147,7 +151,17 @@
     private ServiceLane lane(String service) {
         return mLanes.computeIfAbsent(
                 service,
-                name -> new ServiceLane(name, mConfig, mUse, mClient, mTimer, mClock, () -> mView));
+                name ->
+                        new ServiceLane(
+                                name,
+                                mConfig,
+                                RetryPolicy.DEFAULT,
+                                mUse,
+                                mClient,
+                                mTimer,
+                                mClock,
+                                mRandom,
+                                () -> mView));
     }
 
     private static String serviceOf(String rawUri) {
--- a/org.hornbeamward.route/src/org/hornbeamward/route/front/SendResult.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/SendResult.java
@@ -3,16 +3,25 @@
 import org.hornbeamward.transport.http.HttpReply;
 
 /** What became of one attempt at one endpoint. */
-sealed interface SendResult {
-    /** The endpoint answered. */
+public sealed interface SendResult {
+    /**
+     * The endpoint answered.
+     *
+     * @param reply the answer without hop-by-hop header fields
+     */
     record Answered(HttpReply reply) implements SendResult {}
 
-    /** No byte was written. */
+    /**
+     * No byte was written.
+     *
+     * @param reason why
+     */
     record NotSent(String reason) implements SendResult {}
 
     /**
      * The connection was given up after bytes may have been written.
      *
+     * @param reason what happened
      * @param processingEnded whether the endpoint was answering already
      */
     record Broken(String reason, boolean processingEnded) implements SendResult {}
--- a/org.hornbeamward.route/src/org/hornbeamward/route/front/ServiceLane.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/ServiceLane.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.hornbeamward.lib.EndpointId;
 import org.hornbeamward.lib.MonotonicClock;
 import org.hornbeamward.route.claim.RequestOutcome;
@@ -16,6 +16,7 @@
 import org.hornbeamward.route.retry.EndpointChooser;
 import org.hornbeamward.route.retry.EndpointHealth;
 import org.hornbeamward.route.retry.RetryBudget;
+import org.hornbeamward.route.retry.RetryPolicy;
 import org.hornbeamward.route.slot.SlotUse;
 import org.hornbeamward.transport.http.HttpCall;
 import org.hornbeamward.transport.http.HttpReply;
@@ -25,47 +26,77 @@
  * The requests of one service: a bounded queue, slots, attempts and retries. Safe for use by any
  * thread.
  */
-final class ServiceLane {
+public final class ServiceLane {
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int FIRST_SERVER_ERROR = 500;
 
     private final String mName;
     private final FrontConfig mConfig;
     private final SlotUse mUse;
-    private final EndpointClient mClient;
+    private final AttemptSender mSender;
     private final Timer mTimer;
     private final MonotonicClock mClock;
     private final Supplier<RoutingView> mView;
     private final Admission mAdmission;
-    private final EndpointHealth mHealth = new EndpointHealth();
-    private final RetryBudget mBudget =
-            new RetryBudget(RetryBudget.DEFAULT_RATIO, RetryBudget.DEFAULT_BURST_COUNT);
+    private final RetryPolicy mPolicy;
+    private final RandomGenerator mRandom;
+    private final EndpointHealth mHealth;
+    private final RetryBudget mBudget;
     private final Deque<Exchange> mQueue = new ArrayDeque<>();
 
-    ServiceLane(
+    /**
+     * Creates a lane without requests.
+     *
+     * @param name name of the service
+     * @param config settings of the front
+     * @param policy how attempts are repeated
+     * @param use this member's slots
+     * @param sender sends attempts
+     * @param timer runs the deadlines
+     * @param clock clock of the deadlines
+     * @param random source of endpoint choices, used under the lane's lock
+     * @param view returns the view in force
+     */
+    public ServiceLane(
             String name,
             FrontConfig config,
+            RetryPolicy policy,
             SlotUse use,
-            EndpointClient client,
+            AttemptSender sender,
             Timer timer,
             MonotonicClock clock,
+            RandomGenerator random,
             Supplier<RoutingView> view) {
         mName = name;
         mConfig = config;
         mUse = use;
-        mClient = client;
+        mSender = sender;
         mTimer = timer;
         mClock = clock;
         mView = view;
-        mAdmission = new Admission(config.maxQueueCount());
+        mPolicy = policy;
+        mRandom = random;
+        mAdmission = new Admission(config.maxQueueCount(), policy.shedding());
+        mHealth = new EndpointHealth(policy.ejectAfterCount());
+        mBudget = new RetryBudget(policy.retryRatio(), policy.retryBurstCount());
     }
 
-    synchronized int queuedCount() {
+    /**
+     * Returns the requests that wait for a slot.
+     *
+     * @return their number
+     */
+    public synchronized int queuedCount() {
         return mQueue.size();
     }
 
-    /** Returns why a request would be refused now, or null if it would be sent or queued. */
-    synchronized @Nullable String refusal(long deadlineNanos) {
+    /**
+     * Tells whether a request would be refused now.
+     *
+     * @param deadlineNanos its deadline
+     * @return why, or null if it would be sent or queued
+     */
+    public synchronized @Nullable String refusal(long deadlineNanos) {
         RoutingView view = mView.get();
         RoutingView.Service service = view.services().get(mName);
         if (!view.active() || service == null) {
@@ -85,7 +116,16 @@
                 : "all slots are busy for longer than its deadline allows";
     }
 
-    CompletionStage<RequestOutcome> submit(HttpCall call, long deadlineNanos, boolean idempotent) {
+    /**
+     * Sends or queues a request.
+     *
+     * @param call the request
+     * @param deadlineNanos its deadline
+     * @param idempotent whether it may be repeated after a byte was sent
+     * @return the outcome, at the latest at the deadline
+     */
+    public CompletionStage<RequestOutcome> submit(
+            HttpCall call, long deadlineNanos, boolean idempotent) {
         Exchange exchange = new Exchange(call, deadlineNanos, idempotent);
         synchronized (this) {
             String refusal = refusal(deadlineNanos);
@@ -109,7 +149,7 @@
     }
 
     /** Sends what waits, as far as there are free slots. */
-    synchronized void drain() {
+    public synchronized void drain() {
         while (!mQueue.isEmpty()) {
             Exchange exchange = mQueue.removeFirst();
             if (exchange.isDone()) {
@@ -173,13 +213,15 @@
         exchange.mTried.add(endpoint.id());
         exchange.mRunningCount++;
         exchange.mSentCount++;
-        if (exchange.mIdempotent && service.attemptMillis() < remainingMillis) {
+        if (mPolicy.attemptTimeouts()
+                && exchange.mIdempotent
+                && service.attemptMillis() < remainingMillis) {
             mTimer.newTimeout(
                     unused -> attemptTimedOut(attempt),
                     service.attemptMillis(),
                     TimeUnit.MILLISECONDS);
         }
-        mClient.send(endpoint.address(), exchange.mCall, remainingMillis, service.timeoutMillis())
+        mSender.send(endpoint.address(), exchange.mCall, remainingMillis, service.timeoutMillis())
                 .thenAccept(result -> ended(attempt, result));
     }
 
@@ -303,7 +345,7 @@
                     idle.stream().filter(id -> !exchange.mTried.contains(id)).toList();
             idle = untried.isEmpty() ? idle : untried;
         }
-        return EndpointChooser.choose(idle, mUse::used, ThreadLocalRandom.current());
+        return EndpointChooser.choose(idle, mUse::used, mRandom);
     }
 
     private static final class Attempt {
--- a/org.hornbeamward.route/src/org/hornbeamward/route/retry/Admission.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/retry/Admission.java
@@ -8,14 +8,17 @@
     private static final double SAMPLE_WEIGHT = 0.05;
 
     private final int mMaxQueueCount;
+    private final boolean mShedding;
     private double mMeanNanos;
 
     /**
      * Creates an admission that has seen no request.
      *
      * @param maxQueueCount most requests that may wait
+     * @param shedding false to refuse only what is beyond the queue or its deadline
      */
-    public Admission(int maxQueueCount) {
+    public Admission(int maxQueueCount, boolean shedding) {
+        mShedding = shedding;
         mMaxQueueCount = maxQueueCount;
     }
 
@@ -41,7 +44,7 @@
             return false;
         }
         double waitNanos = mMeanNanos * (queuedCount + 1) / Math.max(1, slotCount);
-        return waitNanos + mMeanNanos <= remainingNanos;
+        return !mShedding || waitNanos + mMeanNanos <= remainingNanos;
     }
 
     /**
@@ -51,6 +54,6 @@
      * @return false if an answer within the deadline is unlikely
      */
     public synchronized boolean isWorthSending(long remainingNanos) {
-        return remainingNanos > 0 && remainingNanos >= mMeanNanos / 2;
+        return remainingNanos > 0 && (!mShedding || remainingNanos >= mMeanNanos / 2);
     }
 }
--- a/org.hornbeamward.route/src/org/hornbeamward/route/retry/EndpointHealth.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/retry/EndpointHealth.java
@@ -11,17 +11,21 @@
  * that have a common cause that ejection would make worse. Safe for use by any thread.
  */
 public final class EndpointHealth {
-    /** Consecutive failures that eject an endpoint. */
-    public static final int FAILURE_COUNT = 3;
-
     private static final long FIRST_NANOS = 1_000_000_000L;
     private static final int MAX_DOUBLINGS = 5;
     private static final int EJECTABLE_DIVISOR = 3;
 
+    private final int mEjectAfterCount;
     private final Map<EndpointId, Health> mHealth = new HashMap<>();
 
-    /** Creates the health of endpoints without failures. */
-    public EndpointHealth() {}
+    /**
+     * Creates the health of endpoints without failures.
+     *
+     * @param ejectAfterCount consecutive failures that eject an endpoint
+     */
+    public EndpointHealth(int ejectAfterCount) {
+        mEjectAfterCount = ejectAfterCount;
+    }
 
     /**
      * Notes an answer that is no failure.
@@ -45,7 +49,7 @@
     public synchronized void failed(EndpointId endpoint, int knownCount, long nowNanos) {
         Health health = mHealth.computeIfAbsent(endpoint, unused -> new Health());
         health.mFailureCount++;
-        if (health.mFailureCount < FAILURE_COUNT || health.isEjected(nowNanos)) {
+        if (health.mFailureCount < mEjectAfterCount || health.isEjected(nowNanos)) {
             return;
         }
         long ejected = mHealth.values().stream().filter(one -> one.isEjected(nowNanos)).count();
--- a/org.hornbeamward.route/src/org/hornbeamward/route/retry/RetryBudget.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/retry/RetryBudget.java
@@ -5,12 +5,6 @@
  * load of an outage. Safe for use by any thread.
  */
 public final class RetryBudget {
-    /** Share of requests that may be retried. */
-    public static final double DEFAULT_RATIO = 0.1;
-
-    /** Retries that may come at once after a quiet time. */
-    public static final int DEFAULT_BURST_COUNT = 10;
-
     private final double mRatio;
     private final double mBurstCount;
     private double mTokens;
