--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/cli/HornbeamwardMain.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/cli/HornbeamwardMain.java
@@ -35,7 +35,7 @@
      */
     public static int run(
             BufferedReader in, PrintWriter out, PrintWriter err, String... arguments) {
-        CommandLine commandLine = new CommandLine(new HornbeamwardCommand(), factory(in));
+        CommandLine commandLine = commandLine(in);
         commandLine.setOut(out);
         commandLine.setErr(err);
         commandLine.setCaseInsensitiveEnumValuesAllowed(true);
@@ -54,6 +54,10 @@
         return exitCode;
     }
 
+    static CommandLine commandLine(BufferedReader in) {
+        return new CommandLine(new HornbeamwardCommand(), factory(in));
+    }
+
     private static IFactory factory(BufferedReader in) {
         IFactory standard = CommandLine.defaultFactory();
         return new IFactory() {
