--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/cli/AdminClient.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/cli/AdminClient.java
@@ -103,7 +103,10 @@
         return Either.left(
                 unknown
                         ? new CliFailure(ExitCodes.OUTCOME_UNKNOWN, "RequestOutcomeUnknown", all)
-                        : new CliFailure(ExitCodes.UNREACHABLE, "Unreachable", all));
+                        : new CliFailure(
+                                ExitCodes.UNREACHABLE,
+                                "Unreachable",
+                                all + "; check the address, or name another one with --admin"));
     }
 
     private static Attempt attempt(BoundRequestBuilder request, boolean command) {
@@ -115,7 +118,7 @@
             Throwable cause = e.getCause();
             boolean notSent =
                     cause instanceof ConnectException || cause instanceof UnknownHostException;
-            return failed(notSent ? ExitCodes.UNREACHABLE : lost, String.valueOf(cause));
+            return failed(notSent ? ExitCodes.UNREACHABLE : lost, textOf(e));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             return failed(lost, "interrupted");
@@ -154,6 +157,12 @@
         return new Attempt(exitCode, "Unreachable", message, JsonDocuments.object());
     }
 
+    private static String textOf(ExecutionException e) {
+        Throwable cause = e.getCause();
+        String message = cause == null ? null : cause.getMessage();
+        return message == null ? String.valueOf(cause) : message;
+    }
+
     private static String url(HostPort address, String path) {
         return "http://" + address + path;
     }
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/ReviewChart.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/ReviewChart.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
 import org.knowm.xchart.CategoryChart;
@@ -19,9 +20,20 @@
 
     private ReviewChart() {}
 
-    /** Returns an svg element, without the XML declaration, to put into a page. */
-    static String svg(Review review, FigureDefinition definition, List<Review.Row> rows) {
+    /**
+     * Returns an svg element, without the XML declaration, to put into a page; empty if the machine
+     * has no fonts, which a JDK without a display needs to measure the labels.
+     */
+    static Optional<String> svg(Review review, FigureDefinition definition, List<Review.Row> rows) {
         System.setProperty("java.awt.headless", "true");
+        try {
+            return Optional.of(draw(review, definition, rows));
+        } catch (LinkageError | InternalError e) {
+            return Optional.empty();
+        }
+    }
+
+    private static String draw(Review review, FigureDefinition definition, List<Review.Row> rows) {
         CategoryChart chart =
                 new CategoryChartBuilder()
                         .width(WIDTH_PIXELS)
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/ReviewPage.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/ReviewPage.java
@@ -53,7 +53,10 @@
             List<Review.Row> rows =
                     review.rows().stream().filter(row -> row.definition() == definition).toList();
             if (!rows.isEmpty()) {
-                page.append(ReviewChart.svg(review, definition, rows)).append('\n');
+                String chart =
+                        ReviewChart.svg(review, definition, rows)
+                                .orElse("<p class=\"gap\">no chart: this machine has no fonts</p>");
+                page.append(chart).append('\n');
             }
         }
     }
