--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/placement/PlacementCase.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/placement/PlacementCase.java
@@ -1,14 +1,18 @@
 package org.hornbeamward.bench.placement;
 
+import java.util.List;
+import java.util.Objects;
 import java.util.SortedMap;
 import java.util.TreeMap;
 import org.hornbeamward.bench.BenchCase;
 import org.hornbeamward.bench.fake.Deployment;
 import org.hornbeamward.bench.fake.FakeCluster;
+import org.hornbeamward.bench.fake.InterferenceTable;
 import org.hornbeamward.bench.fake.RunFigures;
 import org.hornbeamward.bench.fake.Workload;
 import org.hornbeamward.command.Command;
 import org.hornbeamward.schedule.policy.BestFitPolicy;
+import org.hornbeamward.schedule.policy.InterferencePolicy;
 import org.hornbeamward.schedule.policy.PlacementPolicy;
 
 /**
@@ -37,9 +41,24 @@
         Deployment deployment = Deployment.named(deploymentName);
         SortedMap<String, Double> figures = new TreeMap<>();
         report(figures, deployment, "baseline", run(deployment, seed, new BestFitPolicy()));
+        report(figures, deployment, "product", run(deployment, seed, new InterferencePolicy()));
+        InterferenceTable table = new InterferenceTable(deployment, seed);
+        PlacementPolicy bound = new InterferencePolicy(table::coefficient);
+        report(figures, deployment, "bound", run(deployment, seed, bound));
+        for (String policy : List.of("product", "bound")) {
+            compare(figures, policy, ".p99LatencyPerPeriodRatio", ".p99OverBaselineRatio");
+            compare(figures, policy, ".batchCoreHours", ".batchOverBaselineRatio");
+        }
         return figures;
     }
 
+    private static void compare(
+            SortedMap<String, Double> figures, String policy, String key, String ratioKey) {
+        double value = Objects.requireNonNull(figures.get(policy + key));
+        double baseline = Objects.requireNonNull(figures.get("baseline" + key));
+        figures.put(policy + ratioKey, value / baseline);
+    }
+
     private static RunFigures run(Deployment deployment, long seed, PlacementPolicy policy) {
         FakeCluster cluster = new FakeCluster(deployment, seed, policy, TICK_NANOS);
         boolean imbaraga = deployment.equals(Deployment.IMBARAGA);
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/ClusterModel.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/ClusterModel.java
@@ -1,6 +1,5 @@
 package org.hornbeamward.schedule.decide;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -12,17 +11,16 @@
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import org.hornbeamward.command.JobKind;
+import org.hornbeamward.command.JobSpec;
 import org.hornbeamward.lib.FailureDomainId;
 import org.hornbeamward.lib.RegionId;
 import org.hornbeamward.lib.Resources;
 import org.hornbeamward.lib.TaskId;
 import org.hornbeamward.lib.WorkerId;
-import org.hornbeamward.schedule.policy.FinishedRun;
+import org.hornbeamward.schedule.policy.Progress;
 import org.hornbeamward.schedule.policy.ResidentTask;
 import org.hornbeamward.state.ClusterState;
 import org.hornbeamward.state.JobStatus;
-import org.hornbeamward.state.TaskResult;
-import org.hornbeamward.state.TaskState;
 import org.hornbeamward.state.TaskStatus;
 import org.hornbeamward.state.WorkTable;
 import org.hornbeamward.state.WorkerStatus;
@@ -95,9 +93,8 @@
                 + worker.mStatus.registration().rack();
     }
 
-    /** Reads changes from the state and returns the batch runs that finished. */
-    List<FinishedRun> refresh(ClusterState state, long nowNanos) {
-        List<FinishedRun> finished = new ArrayList<>();
+    /** Reads changes from the state. */
+    void refresh(ClusterState state, long nowNanos) {
         SortedMap<WorkerId, WorkerStatus> registered = state.work().workers();
         Set<WorkerId> gone = new HashSet<>(mWorkers.keySet());
         for (WorkerStatus status : registered.values()) {
@@ -114,7 +111,7 @@
                 worker = add(status, nowNanos);
             }
             if (worker.mCommittedSeen != status.committed()) {
-                rebuild(worker, state.work(), nowNanos, finished);
+                rebuild(worker, state.work(), nowNanos);
             }
             noteFailures(worker, nowNanos);
         }
@@ -125,7 +122,6 @@
             }
         }
         mStarted = true;
-        return finished;
     }
 
     private WorkerModel add(WorkerStatus status, long nowNanos) {
@@ -166,16 +162,15 @@
         }
     }
 
-    private void rebuild(
-            WorkerModel worker, WorkTable work, long nowNanos, List<FinishedRun> finished) {
+    private void rebuild(WorkerModel worker, WorkTable work, long nowNanos) {
         worker.integrate(nowNanos);
         WorkerStatus status = worker.mStatus;
         worker.mCommittedSeen = status.committed();
+        worker.mTouchedNanos = nowNanos;
         for (Placement placement : List.copyOf(worker.placements())) {
             Long token = status.tasks().get(placement.mTask.task());
             if (token == null || token != placement.mTask.token()) {
                 forget(worker, placement);
-                noteRun(worker, placement, work, nowNanos, finished);
             }
         }
         for (Map.Entry<TaskId, Long> held : status.tasks().entrySet()) {
@@ -199,12 +194,7 @@
             removeInFlight(worker, decided);
         }
         Placement placement =
-                new Placement(
-                        resident,
-                        nowNanos,
-                        mStarted,
-                        task.checkpoint() == 0 && task.placementCount() == 1,
-                        worker.coreSeconds());
+                new Placement(resident, worker, nowNanos, mStarted, worker.coreSeconds());
         worker.mPlacements.put(token, placement);
         mPlacements.put(token, placement);
         count(worker, resident, 1);
@@ -228,36 +218,33 @@
         }
     }
 
-    private static void noteRun(
-            WorkerModel worker,
-            Placement placement,
-            WorkTable work,
-            long nowNanos,
-            List<FinishedRun> finished) {
-        boolean whole = placement.mFresh && placement.mStartKnown && placement.mTask.batch();
-        TaskStatus task = work.task(placement.mTask.task()).orElse(null);
-        double seconds = (nowNanos - placement.mFirstSeenNanos) / 1e9;
-        if (!whole
-                || seconds <= 0
-                || task == null
-                || !(task.state() instanceof TaskState.Ended ended)
-                || ended.result() != TaskResult.FINISHED) {
-            return;
+    /** Notes an accepted checkpoint; returns the progress since the one before, if known. */
+    @Nullable Progress noteCheckpoint(long token, long checkpoint, long nowNanos) {
+        Placement placement = mPlacements.get(token);
+        WorkerModel worker = placement == null ? null : placement.mWorker;
+        if (placement == null || worker == null) {
+            return null;
         }
+        worker.integrate(nowNanos);
         Map<String, Double> meanCores = worker.coreSeconds();
-        placement.mCoreSecondsAtStart.forEach(
-                (name, start) -> meanCores.merge(name, -start, Double::sum));
+        Map<String, Double> before = placement.mCoreSeconds;
+        double seconds = (nowNanos - placement.mCheckpointNanos) / 1e9;
+        long grown = checkpoint - placement.mCheckpoint;
+        boolean follows = placement.mCheckpoint > 0;
+        placement.mCheckpoint = checkpoint;
+        placement.mCheckpointNanos = nowNanos;
+        placement.mCoreSeconds = new HashMap<>(meanCores);
+        if (!follows || seconds < 1 || grown <= 0) {
+            return null;
+        }
+        before.forEach((name, start) -> meanCores.merge(name, -start, Double::sum));
         meanCores.replaceAll((name, coreSeconds) -> coreSeconds / seconds);
-        meanCores.merge(
-                placement.mTask.spec().className(),
-                -placement.mTask.spec().resources().cpuMillicores() / 1000.0,
-                Double::sum);
-        meanCores.values().removeIf(cores -> cores < 1e-9);
-        finished.add(
-                new FinishedRun(
-                        placement.mTask.spec(),
-                        nowNanos - placement.mFirstSeenNanos,
-                        Map.copyOf(meanCores)));
+        JobSpec spec = placement.mTask.spec();
+        double cores = spec.resources().cpuMillicores() / 1000.0;
+        meanCores.merge(spec.className(), -cores, Double::sum);
+        meanCores.values().removeIf(mean -> mean < 1e-9);
+        double workerCores = worker.capacity().cpuMillicores() / 1000.0;
+        return new Progress(spec, grown / seconds, meanCores, workerCores);
     }
 
     private void noteFailures(WorkerModel worker, long nowNanos) {
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Decider.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Decider.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import org.hornbeamward.command.Command;
 import org.hornbeamward.command.JobKind;
-import org.hornbeamward.command.JobSpec;
 import org.hornbeamward.command.PlaceTask;
 import org.hornbeamward.command.RecordCheckpoint;
 import org.hornbeamward.command.RejectJob;
@@ -14,8 +13,8 @@
 import org.hornbeamward.command.StopTask;
 import org.hornbeamward.lib.RegionId;
 import org.hornbeamward.lib.TaskId;
-import org.hornbeamward.schedule.policy.FinishedRun;
 import org.hornbeamward.schedule.policy.PlacementPolicy;
+import org.hornbeamward.schedule.policy.Progress;
 import org.hornbeamward.schedule.policy.Reduction;
 import org.hornbeamward.schedule.policy.ResidentTask;
 import org.hornbeamward.schedule.usage.UsageSample;
@@ -88,8 +87,7 @@
      */
     public Decisions decide(ClusterState state, Collection<UsageSample> newSamples, long nowNanos) {
         mNowNanos = nowNanos;
-        List<FinishedRun> runs = mCluster.refresh(state, nowNanos);
-        runs.forEach(mPolicy::observeRun);
+        mCluster.refresh(state, nowNanos);
         mRamp.refresh(state, nowNanos);
         mInFlight.prune(state, nowNanos);
         mReservations.prune(state, nowNanos);
@@ -143,9 +141,12 @@
     }
 
     private void noteCheckpoint(RecordCheckpoint record, boolean accepted) {
-        Placement placement = mCluster.placement(record.token());
-        if (accepted && placement != null) {
-            placement.mCheckpointNanos = mNowNanos;
+        if (!accepted) {
+            return;
+        }
+        Progress progress = mCluster.noteCheckpoint(record.token(), record.checkpoint(), mNowNanos);
+        if (progress != null) {
+            mPolicy.observeProgress(progress);
         }
     }
 
@@ -227,7 +228,7 @@
         if (task == null || room(commands) == 0) {
             return QueueRound.Outcome.FULL;
         }
-        WorkerModel worker = findWorker(job.spec(), task);
+        WorkerModel worker = findWorker(job, task);
         if (worker != null) {
             mReservations.release(id);
             mInFlight.place(worker, new ResidentTask(id, 0, job.spec()), mNowNanos);
@@ -253,18 +254,20 @@
     }
 
     /** Finds a worker; room that is kept for the task counts as free for it alone. */
-    private @Nullable WorkerModel findWorker(JobSpec job, TaskStatus task) {
+    private @Nullable WorkerModel findWorker(PendingJob job, TaskStatus task) {
         Reservations.Reservation held = mReservations.of(task.task());
         if (held != null) {
             held.worker().unreserve(held.need());
             boolean fits =
                     held.need().fitsIn(held.worker().free())
-                            && mPlacer.usable(job, task.failedWorkers(), held.worker(), mNowNanos);
+                            && mPlacer.usable(
+                                    job.spec(), task.failedWorkers(), held.worker(), mNowNanos);
             held.worker().reserve(held.need());
             if (fits) {
                 return held.worker();
             }
         }
-        return mPlacer.find(job, task, mNowNanos);
+        long waitedNanos = mNowNanos - mQueue.triedSinceNanos(job.spec().id(), mNowNanos);
+        return mPlacer.find(job.spec(), task, waitedNanos, mNowNanos);
     }
 }
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/PendingQueue.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/PendingQueue.java
@@ -26,6 +26,7 @@
     private static final long OTHER_REGION_NANOS = 500_000_000L;
 
     private final Map<JobId, Long> mWaitingSinceNanos = new HashMap<>();
+    private final Map<JobId, Long> mTriedSinceNanos = new HashMap<>();
     private Set<RegionId> mOwnRegions = Set.of();
 
     PendingQueue() {}
@@ -39,6 +40,11 @@
         mWaitingSinceNanos.replace(job, nowNanos);
     }
 
+    /** Returns when a job first came to the head of its team's queue; now if it just did. */
+    long triedSinceNanos(JobId job, long nowNanos) {
+        return mTriedSinceNanos.computeIfAbsent(job, unused -> nowNanos);
+    }
+
     /** Returns the jobs with pending tasks by tier and age; cost grows with jobs, not tasks. */
     List<PendingJob> jobs(ClusterState state, InFlightDecisions inFlight, long nowNanos) {
         SortedSet<InstanceId> regions = regions(state);
@@ -56,6 +62,7 @@
             }
         }
         mWaitingSinceNanos.keySet().retainAll(seen);
+        mTriedSinceNanos.keySet().retainAll(seen);
         jobs.sort(
                 Comparator.comparing((PendingJob job) -> job.mTier)
                         .thenComparing(job -> job.mJob.submitToken()));
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Placement.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Placement.java
@@ -13,26 +13,28 @@
     /** False if the placement is older than this decider, so its start is unknown. */
     final boolean mStartKnown;
 
-    /** True if the task started without a checkpoint, so its run covers the whole work. */
-    final boolean mFresh;
+    final WorkerModel mWorker;
 
-    /** Core seconds per class on the worker up to the start. */
-    final Map<String, Double> mCoreSecondsAtStart;
+    /** Core seconds per class on the worker up to the last checkpoint. */
+    Map<String, Double> mCoreSeconds;
+
+    /** Number of the last checkpoint of this placement, 0 if none. */
+    long mCheckpoint;
 
     /** Time of the last recorded checkpoint, or of the start. */
     long mCheckpointNanos;
 
     Placement(
             ResidentTask task,
+            WorkerModel worker,
             long nowNanos,
             boolean startKnown,
-            boolean fresh,
-            Map<String, Double> coreSecondsAtStart) {
+            Map<String, Double> coreSeconds) {
         mTask = task;
         mFirstSeenNanos = nowNanos;
         mCheckpointNanos = nowNanos;
         mStartKnown = startKnown;
-        mFresh = fresh;
-        mCoreSecondsAtStart = coreSecondsAtStart;
+        mWorker = worker;
+        mCoreSeconds = coreSeconds;
     }
 }
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Placer.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Placer.java
@@ -59,7 +59,7 @@
     }
 
     /** Returns the best worker with room, or null. */
-    @Nullable WorkerModel find(JobSpec job, TaskStatus task, long nowNanos) {
+    @Nullable WorkerModel find(JobSpec job, TaskStatus task, long waitedNanos, long nowNanos) {
         Shape shape = new Shape(job.className(), job.kind(), job.urgent(), job.resources());
         boolean plain = task.failedWorkers().isEmpty();
         long failedAt = plain ? mFailedAtSequence.getOrDefault(shape, -1L) : -1L;
@@ -67,7 +67,7 @@
             return null;
         }
         List<WorkerModel> candidates = candidates(job, task, failedAt, nowNanos);
-        WorkerModel best = best(job, candidates);
+        WorkerModel best = best(job, candidates, waitedNanos, nowNanos);
         if (best == null && plain) {
             mFailedAtSequence.put(shape, mCluster.changeSequence());
         }
@@ -115,7 +115,8 @@
                 .allMatch(placement -> nowNanos - placement.mFirstSeenNanos > PROBE_NANOS);
     }
 
-    private @Nullable WorkerModel best(JobSpec job, List<WorkerModel> candidates) {
+    private @Nullable WorkerModel best(
+            JobSpec job, List<WorkerModel> candidates, long waitedNanos, long nowNanos) {
         int fewest = Integer.MAX_VALUE;
         boolean service = job.kind() == JobKind.SERVICE;
         if (service) {
@@ -131,6 +132,11 @@
             if (service) {
                 score -= spreadCost(job, worker, fewest);
             }
+            boolean patient = !service && !job.urgent();
+            if (patient
+                    && score < mPolicy.threshold(waitedNanos, nowNanos - worker.mTouchedNanos)) {
+                continue;
+            }
             if (score > bestScore) {
                 best = worker;
                 bestScore = score;
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/WorkerModel.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/WorkerModel.java
@@ -11,6 +11,7 @@
 import org.hornbeamward.lib.Resources;
 import org.hornbeamward.lib.TaskId;
 import org.hornbeamward.lib.WorkerId;
+import org.hornbeamward.schedule.policy.ClassLoad;
 import org.hornbeamward.schedule.policy.ResidentTask;
 import org.hornbeamward.schedule.policy.WorkerView;
 import org.hornbeamward.schedule.usage.TaskUsage;
@@ -25,6 +26,7 @@
     final Map<TaskId, ResidentTask> mInFlight = new LinkedHashMap<>();
     private final Map<String, Double> mCoreSeconds = new HashMap<>();
     private List<ResidentTask> mTasks = List.of();
+    private Map<String, ClassLoad> mLoads = Map.of();
     private Resources mInFlightSum = Resources.NONE;
     private Resources mReserved = Resources.NONE;
     private Resources mExcess = Resources.NONE;
@@ -42,9 +44,13 @@
 
     int mFailedJobCount;
 
+    /** When the worker last took or lost a task. */
+    long mTouchedNanos;
+
     WorkerModel(WorkerStatus status, long nowNanos) {
         mStatus = status;
         mIntegratedNanos = nowNanos;
+        mTouchedNanos = nowNanos;
     }
 
     @Override
@@ -68,14 +74,13 @@
     }
 
     @Override
-    public int classCount(String className) {
-        int count = 0;
-        for (ResidentTask task : mTasks) {
-            if (task.spec().className().equals(className)) {
-                count++;
-            }
-        }
-        return count;
+    public Map<String, ClassLoad> loads() {
+        return mLoads;
+    }
+
+    int classCount(String className) {
+        ClassLoad load = mLoads.get(className);
+        return load == null ? 0 : load.count();
     }
 
     Collection<Placement> placements() {
@@ -128,6 +133,17 @@
         mPlacements.values().forEach(placement -> tasks.add(placement.mTask));
         tasks.addAll(mInFlight.values());
         mTasks = Collections.unmodifiableList(tasks);
+        Map<String, ClassLoad> loads = new TreeMap<>();
+        for (ResidentTask task : tasks) {
+            loads.merge(
+                    task.spec().className(),
+                    new ClassLoad(
+                            task.spec().resources().cpuMillicores() / 1000.0, 1, !task.batch()),
+                    (a, b) ->
+                            new ClassLoad(
+                                    a.cores() + b.cores(), a.count() + b.count(), a.service()));
+        }
+        mLoads = Collections.unmodifiableMap(loads);
     }
 
     /** Tells whether a sample is of this incarnation and newer than those before. */
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/BestFitPolicy.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/BestFitPolicy.java
@@ -25,7 +25,12 @@
     public void observe(UsageSample sample, WorkerView worker, long nowNanos) {}
 
     @Override
-    public void observeRun(FinishedRun run) {}
+    public void observeProgress(Progress progress) {}
+
+    @Override
+    public double threshold(long waitedNanos, long idleNanos) {
+        return Double.NEGATIVE_INFINITY;
+    }
 
     @Override
     public List<Reduction> reduce(WorkerView worker, long nowNanos) {
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/PlacementPolicy.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/PlacementPolicy.java
@@ -47,11 +47,21 @@
     void observe(UsageSample sample, WorkerView worker, long nowNanos);
 
     /**
-     * Learns from a batch task that finished.
+     * Learns from the progress of a batch task.
      *
-     * @param run what was seen of it
+     * @param progress what was seen between two checkpoints
      */
-    void observeRun(FinishedRun run);
+    void observeProgress(Progress progress);
+
+    /**
+     * Tells the least score at which a batch task that is not urgent is placed. A policy may leave
+     * room free for a while for a task that fits better.
+     *
+     * @param waitedNanos time since the job was first tried
+     * @param idleNanos time since the worker last took or lost a task
+     * @return the least score; must fall without bound as the times grow
+     */
+    double threshold(long waitedNanos, long idleNanos);
 
     /**
      * Proposes reductions on a worker of which a new sample was observed.
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/PolicyPlugIn.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/PolicyPlugIn.java
@@ -11,5 +11,6 @@
     @Override
     public void register(PlugInRegistry registry) {
         registry.add(PlacementPolicy.Factory.class, "best-fit", BestFitPolicy::new);
+        registry.add(PlacementPolicy.Factory.class, "interference", InterferencePolicy::new);
     }
 }
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/WorkerView.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/WorkerView.java
@@ -1,6 +1,7 @@
 package org.hornbeamward.schedule.policy;
 
 import java.util.List;
+import java.util.Map;
 import org.hornbeamward.lib.Resources;
 import org.hornbeamward.lib.WorkerId;
 
@@ -36,10 +37,9 @@
     List<ResidentTask> tasks();
 
     /**
-     * Returns how many tasks of a service are placed near this worker.
+     * Returns the tasks by class, including decisions in flight.
      *
-     * @param className the service's class
-     * @return tasks of the class on this worker
+     * @return unmodifiable view from class to its load
      */
-    int classCount(String className);
+    Map<String, ClassLoad> loads();
 }
