Choose among the oldest jobs of a team and tighten processors by worker

Before, a job at the head of a team's queue took the only free room whatever it disturbed, and the sum of single excesses left 5% of the processors unused. The policy now rates the 16 oldest jobs of the team whose turn it is, with a rate that grows with waiting, and services cost by lateness.

--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Decider.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Decider.java
@@ -218,18 +218,37 @@
                 commands.add(new RejectJob(job.spec().id(), obstacle));
             }
         }
-        new QueueRound(state, mInFlight, (job, task) -> tryPlace(state, job, task, commands))
+        new QueueRound(
+                        state,
+                        mInFlight,
+                        (job, task) -> tryPlace(state, job, task, commands),
+                        job -> preference(state, job))
                 .run(candidates);
     }
 
+    /** Rates the head of a job for the choice among the oldest jobs of a team. */
+    private double preference(ClusterState state, PendingJob job) {
+        TaskId head = job.head();
+        TaskStatus task = head == null ? null : state.work().task(head).orElse(null);
+        Placer.Choice choice = task == null ? null : find(job, task);
+        return choice == null
+                ? Double.NEGATIVE_INFINITY
+                : mPolicy.preference(choice.score(), waitedNanos(job));
+    }
+
+    private long waitedNanos(PendingJob job) {
+        return mNowNanos - mQueue.triedSinceNanos(job.spec().id(), mNowNanos);
+    }
+
     private QueueRound.Outcome tryPlace(
             ClusterState state, PendingJob job, TaskId id, List<Command> commands) {
         TaskStatus task = state.work().task(id).orElse(null);
         if (task == null || room(commands) == 0) {
             return QueueRound.Outcome.FULL;
         }
-        WorkerModel worker = findWorker(job, task);
-        if (worker != null) {
+        Placer.Choice choice = find(job, task);
+        if (choice != null) {
+            WorkerModel worker = choice.worker();
             mReservations.release(id);
             mInFlight.place(worker, new ResidentTask(id, 0, job.spec()), mNowNanos);
             mQueue.notePlaced(job.spec().id(), mNowNanos);
@@ -254,7 +273,7 @@
     }
 
     /** Finds a worker; room that is kept for the task counts as free for it alone. */
-    private @Nullable WorkerModel findWorker(PendingJob job, TaskStatus task) {
+    private Placer.@Nullable Choice find(PendingJob job, TaskStatus task) {
         Reservations.Reservation held = mReservations.of(task.task());
         if (held != null) {
             held.worker().unreserve(held.need());
@@ -264,10 +283,9 @@
                                     job.spec(), task.failedWorkers(), held.worker(), mNowNanos);
             held.worker().reserve(held.need());
             if (fits) {
-                return held.worker();
+                return new Placer.Choice(held.worker(), Double.POSITIVE_INFINITY);
             }
         }
-        long waitedNanos = mNowNanos - mQueue.triedSinceNanos(job.spec().id(), mNowNanos);
-        return mPlacer.find(job.spec(), task, waitedNanos, mNowNanos);
+        return mPlacer.find(job.spec(), task, waitedNanos(job), mNowNanos);
     }
 }
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Placer.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Placer.java
@@ -33,6 +33,14 @@
 
     private record Shape(String className, JobKind kind, boolean urgent, Resources need) {}
 
+    /**
+     * The best worker for a task.
+     *
+     * @param worker the worker
+     * @param score the policy's score
+     */
+    record Choice(WorkerModel worker, double score) {}
+
     private final ClusterModel mCluster;
     private final DomainRamp mRamp;
     private final PlacementPolicy mPolicy;
@@ -59,7 +67,7 @@
     }
 
     /** Returns the best worker with room, or null. */
-    @Nullable WorkerModel find(JobSpec job, TaskStatus task, long waitedNanos, long nowNanos) {
+    @Nullable Choice find(JobSpec job, TaskStatus task, long waitedNanos, long nowNanos) {
         Shape shape = new Shape(job.className(), job.kind(), job.urgent(), job.resources());
         boolean plain = task.failedWorkers().isEmpty();
         long failedAt = plain ? mFailedAtSequence.getOrDefault(shape, -1L) : -1L;
@@ -67,7 +75,7 @@
             return null;
         }
         List<WorkerModel> candidates = candidates(job, task, failedAt, nowNanos);
-        WorkerModel best = best(job, candidates, waitedNanos, nowNanos);
+        Choice best = best(job, candidates, waitedNanos, nowNanos);
         if (best == null && plain) {
             mFailedAtSequence.put(shape, mCluster.changeSequence());
         }
@@ -115,7 +123,7 @@
                 .allMatch(placement -> nowNanos - placement.mFirstSeenNanos > PROBE_NANOS);
     }
 
-    private @Nullable WorkerModel best(
+    private @Nullable Choice best(
             JobSpec job, List<WorkerModel> candidates, long waitedNanos, long nowNanos) {
         int fewest = Integer.MAX_VALUE;
         boolean service = job.kind() == JobKind.SERVICE;
@@ -142,7 +150,7 @@
                 bestScore = score;
             }
         }
-        return best;
+        return best == null ? null : new Choice(best, bestScore);
     }
 
     private int inDomain(JobSpec job, WorkerModel worker) {
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/QueueRound.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/QueueRound.java
@@ -10,11 +10,13 @@
 import java.util.PriorityQueue;
 import java.util.TreeMap;
 import java.util.function.BiFunction;
+import java.util.function.ToDoubleFunction;
 import org.hornbeamward.config.TeamConfig;
 import org.hornbeamward.lib.Resources;
 import org.hornbeamward.lib.TaskId;
 import org.hornbeamward.lib.TeamId;
 import org.hornbeamward.state.ClusterState;
+import org.jspecify.annotations.Nullable;
 
 /**
  * One pass over the pending jobs in queue order: tier by tier, and within a tier always the team
@@ -34,7 +36,7 @@
     }
 
     /** Jobs of one team and tier without room, after which the team is passed over. */
-    private static final int MAX_FAILURES_PER_TEAM = 8;
+    private static final int MAX_FAILURES_PER_TEAM = 16;
 
     private static final class TeamQueue {
         final TeamId mTeam;
@@ -52,14 +54,17 @@
     private final ClusterState mState;
     private final InFlightDecisions mInFlight;
     private final BiFunction<PendingJob, TaskId, Outcome> mPlace;
+    private final ToDoubleFunction<PendingJob> mPreference;
 
     QueueRound(
             ClusterState state,
             InFlightDecisions inFlight,
-            BiFunction<PendingJob, TaskId, Outcome> place) {
+            BiFunction<PendingJob, TaskId, Outcome> place,
+            ToDoubleFunction<PendingJob> preference) {
         mState = state;
         mInFlight = inFlight;
         mPlace = place;
+        mPreference = preference;
     }
 
     void run(List<PendingJob> jobs) {
@@ -119,23 +124,46 @@
         return mState.work().usedBy(team).plus(mInFlight.usedBy(team));
     }
 
+    /** Picks the oldest job, or for batch work the preferred one among the oldest with room. */
+    private @Nullable PendingJob choose(TeamQueue queue) {
+        queue.mJobs.removeIf(job -> job.head() == null);
+        PendingJob oldest = queue.mJobs.peek();
+        if (oldest == null || oldest.mTier != PendingJob.Tier.BATCH) {
+            return oldest;
+        }
+        PendingJob best = oldest;
+        double bestRate = Double.NEGATIVE_INFINITY;
+        int compared = 0;
+        for (PendingJob job : queue.mJobs) {
+            if (compared++ >= MAX_FAILURES_PER_TEAM) {
+                break;
+            }
+            double rate = mPreference.applyAsDouble(job);
+            if (rate > bestRate) {
+                best = job;
+                bestRate = rate;
+            }
+        }
+        return best;
+    }
+
     /** Tries the head of a team's queue; returns false if the call has decided enough. */
     private boolean step(TeamQueue queue) {
-        PendingJob job = queue.mJobs.element();
-        TaskId task = job.head();
-        if (task == null) {
-            queue.mJobs.remove();
+        PendingJob job = choose(queue);
+        TaskId task = job == null ? null : job.head();
+        if (job == null || task == null) {
+            queue.mJobs.clear();
             return true;
         }
         Resources after = used(queue.mTeam).plus(job.spec().resources());
         if (!after.fitsIn(queue.mConfig.quota())) {
-            queue.mJobs.remove();
+            queue.mJobs.remove(job);
             return true;
         }
         switch (mPlace.apply(job, task)) {
             case PLACED, WAITS -> job.advance();
             case NO_ROOM -> {
-                queue.mJobs.remove();
+                queue.mJobs.remove(job);
                 queue.mFailureCount++;
             }
             case FULL -> {
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/WorkerModel.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/WorkerModel.java
@@ -157,8 +157,9 @@
     }
 
     /**
-     * Takes measured use above the declared sizes off the free resources. Use below them frees
-     * nothing, because the commitment is by declared sizes.
+     * Takes measured use above the declared sizes off the free resources: processors by the sum
+     * over the worker, since they are shared, and memory task by task, since a worker that runs out
+     * of it kills tasks. Use below the declared sizes frees nothing.
      */
     void tighten(UsageSample sample) {
         long cpuMillicores = 0;
@@ -169,9 +170,9 @@
                 continue;
             }
             Resources declared = placement.mTask.spec().resources();
-            cpuMillicores += Math.max(0, usage.cpuMillicores() - declared.cpuMillicores());
+            cpuMillicores += usage.cpuMillicores() - declared.cpuMillicores();
             memoryMib += Math.max(0, usage.memoryMib() - declared.memoryMib());
         }
-        mExcess = new Resources(cpuMillicores, memoryMib, 0);
+        mExcess = new Resources(Math.max(0, cpuMillicores), memoryMib, 0);
     }
 }
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/BestFitPolicy.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/BestFitPolicy.java
@@ -36,4 +36,9 @@
     public List<Reduction> reduce(WorkerView worker, long nowNanos) {
         return List.of();
     }
+
+    @Override
+    public double preference(double score, long waitedNanos) {
+        return waitedNanos;
+    }
 }
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/InterferencePolicy.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/InterferencePolicy.java
@@ -20,8 +20,11 @@
  * slows nothing.
  */
 public final class InterferencePolicy implements PlacementPolicy {
-    /** Cores of batch work that one core of a service at twice its undisturbed latency is worth. */
-    private static final double SERVICE_WEIGHT = 3;
+    /** Cores of batch work that one core of a service is worth per square of its lateness. */
+    private static final double SERVICE_WEIGHT = 15;
+
+    /** Mean latency over the agreed period from which on a service counts as getting late. */
+    private static final double LATE_RATIO = 0.35;
 
     /** Prefers fuller workers among equals, so that large tasks find room. */
     private static final double PACKING_WEIGHT = 0.05;
@@ -44,13 +47,13 @@
     private static final long AVOID_NANOS = 600_000_000_000L;
 
     /** First threshold of a score; a worker that fits better is worth waiting for. */
-    private static final double THRESHOLD = 0.9;
+    private static final double THRESHOLD = 0.5;
 
     /** The threshold falls by 1 per this waiting time of a job. */
-    private static final double JOB_WAIT_NANOS = 600e9;
+    private static final double JOB_WAIT_NANOS = 1800e9;
 
     /** The threshold falls by 1 per this time of free room. */
-    private static final double ROOM_IDLE_NANOS = 60e9;
+    private static final double ROOM_IDLE_NANOS = 30e9;
 
     /** Rate at which measured over declared processor use is followed. */
     private static final double USE_RATE = 0.01;
@@ -85,6 +88,11 @@
         return THRESHOLD - waitedNanos / JOB_WAIT_NANOS - idleNanos / ROOM_IDLE_NANOS;
     }
 
+    @Override
+    public double preference(double score, long waitedNanos) {
+        return score + waitedNanos / JOB_WAIT_NANOS;
+    }
+
     @Override
     public double score(JobSpec job, WorkerView worker) {
         boolean service = job.kind() == JobKind.SERVICE;
@@ -106,20 +114,26 @@
             double added = mTable.coefficient(victim, job.className()) * jobShare;
             if (added > 0) {
                 double before = slowdown(victim, load, loads, capacity);
-                gain -= loss(load, before, before + added);
+                gain -= loss(victim, load, before, before + added);
             }
         }
-        gain += service ? jobCores - SERVICE_WEIGHT * jobCores * (own - 1) : jobCores / own;
+        gain += service ? jobCores * (1 - lateness(job.className(), own)) : jobCores / own;
         double left = worker.free().minus(job.resources()).dominantShareOf(worker.capacity());
         return gain / jobCores - PACKING_WEIGHT * left;
     }
 
-    private static double loss(ClassLoad load, double before, double after) {
+    private double loss(String victim, ClassLoad load, double before, double after) {
         return load.service()
-                ? SERVICE_WEIGHT * load.cores() * (after - before)
+                ? load.cores() * (lateness(victim, after) - lateness(victim, before))
                 : load.cores() * (1 / before - 1 / after);
     }
 
+    /** Cost per core of a service at a slowdown; grows with the square of the lateness. */
+    private double lateness(String service, double slowdown) {
+        double late = Math.max(0, mModel.serviceLevel(service) * slowdown - LATE_RATIO);
+        return SERVICE_WEIGHT * late * late;
+    }
+
     private double useRatio(String className) {
         return mUseRatios.getOrDefault(className, 1.0);
     }
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/PlacementPolicy.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/PlacementPolicy.java
@@ -71,4 +71,14 @@
      * @return reductions, usually none
      */
     List<Reduction> reduce(WorkerView worker, long nowNanos);
+
+    /**
+     * Rates a batch job among the oldest jobs of its team that have room; the highest is placed
+     * first. The rate must grow without bound with the waiting time.
+     *
+     * @param score score of the job's best worker
+     * @param waitedNanos time since the job was first tried
+     * @return the rate
+     */
+    double preference(double score, long waitedNanos);
 }
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/SlowdownModel.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/SlowdownModel.java
@@ -31,6 +31,9 @@
     /** Estimates before any observation: batch work disturbs, services hardly. */
     private static final double PRIOR_SERVICE = 0.8;
 
+    /** Latency over the agreed period of an undisturbed service before any observation. */
+    private static final double PRIOR_LEVEL = 0.3;
+
     private static final double PRIOR_BATCH = 0.3;
     private static final double PRIOR_BY_SERVICE = 0.1;
     private static final double PRIOR_DEVIATION = 1.0;
@@ -76,7 +79,7 @@
 
     /** Returns the latency over the agreed period of an undisturbed service at its present load. */
     double serviceLevel(String className) {
-        return mServiceLevels.getOrDefault(className, 0.0);
+        return mServiceLevels.getOrDefault(className, PRIOR_LEVEL);
     }
 
     /** Learns from a measured latency ratio. */
