--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/WorkerModel.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/WorkerModel.java
@@ -11,6 +11,7 @@
 import org.hornbeamward.lib.Resources;
 import org.hornbeamward.lib.TaskId;
 import org.hornbeamward.lib.WorkerId;
+import org.hornbeamward.schedule.policy.ClassLoad;
 import org.hornbeamward.schedule.policy.ResidentTask;
 import org.hornbeamward.schedule.policy.WorkerView;
 import org.hornbeamward.schedule.usage.TaskUsage;
@@ -25,6 +26,7 @@
     final Map<TaskId, ResidentTask> mInFlight = new LinkedHashMap<>();
     private final Map<String, Double> mCoreSeconds = new HashMap<>();
     private List<ResidentTask> mTasks = List.of();
+    private Map<String, ClassLoad> mLoads = Map.of();
     private Resources mInFlightSum = Resources.NONE;
     private Resources mReserved = Resources.NONE;
     private Resources mExcess = Resources.NONE;
@@ -42,9 +44,13 @@
 
     int mFailedJobCount;
 
+    /** When the worker last took or lost a task. */
+    long mTouchedNanos;
+
     WorkerModel(WorkerStatus status, long nowNanos) {
         mStatus = status;
         mIntegratedNanos = nowNanos;
+        mTouchedNanos = nowNanos;
     }
 
     @Override
@@ -68,14 +74,13 @@
     }
 
     @Override
-    public int classCount(String className) {
-        int count = 0;
-        for (ResidentTask task : mTasks) {
-            if (task.spec().className().equals(className)) {
-                count++;
-            }
-        }
-        return count;
+    public Map<String, ClassLoad> loads() {
+        return mLoads;
+    }
+
+    int classCount(String className) {
+        ClassLoad load = mLoads.get(className);
+        return load == null ? 0 : load.count();
     }
 
     Collection<Placement> placements() {
@@ -128,6 +133,17 @@
         mPlacements.values().forEach(placement -> tasks.add(placement.mTask));
         tasks.addAll(mInFlight.values());
         mTasks = Collections.unmodifiableList(tasks);
+        Map<String, ClassLoad> loads = new TreeMap<>();
+        for (ResidentTask task : tasks) {
+            loads.merge(
+                    task.spec().className(),
+                    new ClassLoad(
+                            task.spec().resources().cpuMillicores() / 1000.0, 1, !task.batch()),
+                    (a, b) ->
+                            new ClassLoad(
+                                    a.cores() + b.cores(), a.count() + b.count(), a.service()));
+        }
+        mLoads = Collections.unmodifiableMap(loads);
     }
 
     /** Tells whether a sample is of this incarnation and newer than those before. */
@@ -141,8 +157,9 @@
     }
 
     /**
-     * Takes measured use above the declared sizes off the free resources. Use below them frees
-     * nothing, because the commitment is by declared sizes.
+     * Takes measured use above the declared sizes off the free resources: processors by the sum
+     * over the worker, since they are shared, and memory task by task, since a worker that runs out
+     * of it kills tasks. Use below the declared sizes frees nothing.
      */
     void tighten(UsageSample sample) {
         long cpuMillicores = 0;
@@ -153,9 +170,9 @@
                 continue;
             }
             Resources declared = placement.mTask.spec().resources();
-            cpuMillicores += Math.max(0, usage.cpuMillicores() - declared.cpuMillicores());
+            cpuMillicores += usage.cpuMillicores() - declared.cpuMillicores();
             memoryMib += Math.max(0, usage.memoryMib() - declared.memoryMib());
         }
-        mExcess = new Resources(cpuMillicores, memoryMib, 0);
+        mExcess = new Resources(Math.max(0, cpuMillicores), memoryMib, 0);
     }
 }
