--- a/org.hornbeamward.storage/src/org/hornbeamward/storage/log/BatchAppender.java
+++ b/org.hornbeamward.storage/src/org/hornbeamward/storage/log/BatchAppender.java
@@ -26,7 +26,8 @@
  * Appends commands to one stream in batches with one append outstanding (group commit). A batch
  * whose append got no clear answer is sent again unchanged until an append is answered with an
  * offset or the reader of the stream confirms its sequence; only then the next batch is sent. The
- * stream may therefore hold a batch several times, and readers ignore repeated sequences.
+ * stream may therefore hold a batch several times, and readers ignore repeated sequences. A
+ * confirmed batch is not awaited further, so a late repetition of it may follow the next batch.
  *
  * @param <C> type of the commands
  */
--- a/org.hornbeamward.storage/src/org/hornbeamward/storage/snapshot/SnapshotManifest.java
+++ b/org.hornbeamward.storage/src/org/hornbeamward/storage/snapshot/SnapshotManifest.java
@@ -3,7 +3,7 @@
 /**
  * Describes one complete snapshot.
  *
- * @param snapshotId name of the snapshot, 1 to {@link #MAX_ID_LENGTH} characters
+ * @param snapshotId name of the snapshot, 1 to {@link #MAX_ID_LENGTH} bytes in UTF-8
  * @param controlOffset offset of the first {@code control} record that is not in the state
  * @param requestsOffset offset of the first {@code requests} record that is not in the state
  * @param chunkCount number of chunks
@@ -17,6 +17,6 @@
         int chunkCount,
         long wholeHash,
         long stateDigest) {
-    /** Longest id. */
+    /** Longest id in bytes. */
     public static final int MAX_ID_LENGTH = 200;
 }
