Avoid failing endpoints beyond the ejected third, probe singly, shed at half the deadline

Each end of an ejection also let through as many requests as slots. The queue may now use half of the remaining time, since service times above the mean missed their deadlines.

--- a/org.hornbeamward.route.test/tst/org/hornbeamward/route/retry/RetryTest.java
+++ b/org.hornbeamward.route.test/tst/org/hornbeamward/route/retry/RetryTest.java
@@ -33,6 +33,7 @@
                 health.failed(endpoint, 7, 0);
             }
             ejected += health.isEjected(endpoint, 0) ? 1 : 0;
+            assertTrue(health.isAvoided(endpoint, 0));
         }
         assertEquals(2, ejected);
     }
@@ -49,6 +50,8 @@
         assertFalse(health.isEjected(endpoint, SECOND));
         health.failed(endpoint, 9, SECOND);
         assertTrue(health.isEjected(endpoint, 3 * SECOND - 1));
+        health.sent(endpoint, 3 * SECOND);
+        assertTrue(health.isEjected(endpoint, 3 * SECOND + 1));
         health.succeeded(endpoint);
         assertFalse(health.isEjected(endpoint, SECOND));
     }
@@ -59,6 +62,7 @@
         admission.sample(SECOND);
         assertTrue(admission.admits(3, 4, 2 * SECOND));
         assertFalse(admission.admits(4, 4, 2 * SECOND));
+        assertTrue(admission.admits(4, 4, 3 * SECOND));
         assertFalse(admission.admits(100, 1_000, 100 * SECOND));
     }
 }
--- a/org.hornbeamward.route/src/org/hornbeamward/route/front/ServiceLane.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/ServiceLane.java
@@ -2,6 +2,7 @@
 
 import io.netty.util.Timer;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
@@ -43,6 +44,8 @@
     private final EndpointHealth mHealth;
     private final RetryBudget mBudget;
     private final Deque<Exchange> mQueue = new ArrayDeque<>();
+    private RoutingView.@Nullable Service mUsableOf;
+    private List<EndpointId> mUsable = List.of();
 
     /**
      * Creates a lane without requests.
@@ -210,6 +213,7 @@
             long startNanos,
             long remainingMillis) {
         Attempt attempt = new Attempt(exchange, service, endpoint.id(), startNanos);
+        mHealth.sent(endpoint.id(), startNanos);
         exchange.mTried.add(endpoint.id());
         exchange.mRunningCount++;
         exchange.mSentCount++;
@@ -335,17 +339,21 @@
 
     private Optional<EndpointId> choose(RoutingView.Service service, @Nullable Exchange exchange) {
         long nowNanos = mClock.nowNanos();
-        List<EndpointId> idle =
-                service.usable().stream()
-                        .map(RoutingView.Endpoint::id)
-                        .filter(id -> mUse.idle(id) > 0 && !mHealth.isEjected(id, nowNanos))
-                        .toList();
-        if (exchange != null && !exchange.mTried.isEmpty()) {
-            List<EndpointId> untried =
-                    idle.stream().filter(id -> !exchange.mTried.contains(id)).toList();
-            idle = untried.isEmpty() ? idle : untried;
+        if (service != mUsableOf) {
+            mUsableOf = service;
+            mUsable = service.usable().stream().map(RoutingView.Endpoint::id).toList();
         }
-        return EndpointChooser.choose(idle, mUse::used, mRandom);
+        List<EndpointId> preferred = new ArrayList<>(mUsable.size());
+        List<EndpointId> others = new ArrayList<>();
+        for (EndpointId id : mUsable) {
+            if (mUse.idle(id) < 1 || mHealth.isEjected(id, nowNanos)) {
+                continue;
+            }
+            boolean tried = exchange != null && exchange.mTried.contains(id);
+            (tried || mHealth.isAvoided(id, nowNanos) ? others : preferred).add(id);
+        }
+        return EndpointChooser.choose(
+                preferred.isEmpty() ? others : preferred, mUse::used, mRandom);
     }
 
     private static final class Attempt {
--- a/org.hornbeamward.route/src/org/hornbeamward/route/retry/Admission.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/retry/Admission.java
@@ -7,6 +7,12 @@
 public final class Admission {
     private static final double SAMPLE_WEIGHT = 0.05;
 
+    /**
+     * Share of the remaining time that may be spent in the queue. The rest covers service times
+     * above the mean; with a share of 1, goodput at twice the capacity was 0.89 of its peak.
+     */
+    private static final double MAX_WAIT_SHARE = 0.5;
+
     private final int mMaxQueueCount;
     private final boolean mShedding;
     private double mMeanNanos;
@@ -44,7 +50,9 @@
             return false;
         }
         double waitNanos = mMeanNanos * (queuedCount + 1) / Math.max(1, slotCount);
-        return !mShedding || waitNanos + mMeanNanos <= remainingNanos;
+        return !mShedding
+                || (waitNanos <= remainingNanos * MAX_WAIT_SHARE
+                        && waitNanos + mMeanNanos <= remainingNanos);
     }
 
     /**
