--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/message/MessageReader.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/message/MessageReader.java
@@ -21,7 +21,12 @@
             case MessageType.HEARTBEAT ->
                     new Heartbeat(number(), number(), number(), list(this::number));
             case MessageType.HEARTBEAT_ACK ->
-                    new HeartbeatAck(number(), number(), list(this::sample), list(this::endedTask));
+                    new HeartbeatAck(
+                            number(),
+                            number(),
+                            number(),
+                            list(this::sample),
+                            list(this::endedTask));
             case MessageType.START_TASK -> readStart();
             case MessageType.CHECKPOINT_TASK -> new CheckpointTask(number(), number());
             case MessageType.THROTTLE_TASK -> new ThrottleTask(number(), number(), integer());
@@ -32,9 +37,11 @@
             case MessageType.PEER_PING -> new PeerPing(instance(), number(), number(), number());
             case MessageType.PEER_PONG ->
                     new PeerPong(instance(), number(), number(), flag(), number());
-            case MessageType.ANSWER_QUERY -> new AnswerQuery(number(), number(), number());
+            case MessageType.ANSWER_QUERY ->
+                    new AnswerQuery(number(), number(), number(), number(), number(), number());
             case MessageType.ANSWER_REPLY -> readReply();
             case MessageType.USAGE_REPORT -> new UsageReport(list(this::workerSamples));
+            case MessageType.TASK_ADVICE -> new TaskAdvice(worker(), number(), integer());
             default -> throw new MalformedMessageException("message type " + type + " is unknown");
         };
     }
@@ -63,6 +70,7 @@
                 number(),
                 text(),
                 constant(JobKind.values()),
+                number(),
                 number());
     }
 
@@ -94,10 +102,10 @@
     }
 
     private UsageSample sample() throws IOException, MalformedMessageException {
-        return new UsageSample(number(), number(), integer(), integer(), integer());
+        return new UsageSample(number(), integer(), integer(), integer(), integer());
     }
 
     private WorkerSamples workerSamples() throws IOException, MalformedMessageException {
-        return new WorkerSamples(worker(), list(this::sample));
+        return new WorkerSamples(worker(), number(), number(), list(this::sample));
     }
 }
