--- a/org.hornbeamward.schedule.test/tst/org/hornbeamward/schedule/worker/WorkerSupervisorTest.java
+++ b/org.hornbeamward.schedule.test/tst/org/hornbeamward/schedule/worker/WorkerSupervisorTest.java
@@ -172,18 +172,23 @@
         assertEquals(0, countOf(mWorker, WorkerEvent.Kind.STARTED));
     }
 
-    /** Guards against starts without a log read that shows the present failure domains. */
+    /** Guards against starts with a ticket that no log read has followed. */
     @Test
     void nothingStartsWhileTheLogCannotBeRead() {
-        startOn(mWorker, JobKind.BATCH);
+        mCluster.run(3_000);
+        mCluster.submit("j", JobKind.BATCH, 1, 600_000);
+        link().mStalled = true;
+        mCluster.run(2_500);
+        place(mWorker);
+        mCluster.run(100);
         mCluster.mInstances.forEach(i -> i.mPromised = true);
-        mCluster.step();
-        mCluster.step();
         mCluster.mInstances.forEach(i -> i.mReadsLog = false);
-        mCluster.mSent.clear();
-        mCluster.run(10_000);
-        long late = mCluster.mSent.stream().filter(StartTask.class::isInstance).count();
-        assertTrue(late <= 2, "starts without a log read: " + late);
+        link().mStalled = false;
+        mCluster.run(8_000);
+        assertTrue(mCluster.mSent.stream().noneMatch(StartTask.class::isInstance));
+        mCluster.mInstances.forEach(i -> i.mReadsLog = true);
+        mCluster.run(3_000);
+        assertEquals(1, countOf(mWorker, WorkerEvent.Kind.STARTED));
     }
 
     /** Guards against a restarted worker whose tasks are neither stopped nor placed again. */
--- a/org.hornbeamward.standin.test/src/org/hornbeamward/standin/worker/StandinWorker.java
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/worker/StandinWorker.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.hornbeamward.transport.link.Link;
 import org.hornbeamward.transport.link.LinkCounters;
@@ -139,7 +140,7 @@
     }
 
     private WorkerAgent newAgent() {
-        long incarnation = System.nanoTime() & Long.MAX_VALUE;
+        long incarnation = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
         return new WorkerAgent(mIdentity, incarnation, mSeed, mEvents, nowMillis());
     }
 
