Draw no bar for a missing figure

Cause: a service or team without a figure in a month was drawn with the value 0. Change: missing values stay without a bar; the page test covers a month without figures.

--- a/org.hornbeamward.pgm.test/tst/org/hornbeamward/pgm/test/ReviewTest.java
+++ b/org.hornbeamward.pgm.test/tst/org/hornbeamward/pgm/test/ReviewTest.java
@@ -79,7 +79,11 @@
     void pageIsSelfContainedAndEscaped() {
         FakeBackend backend = new FakeBackend();
         backend.run(report(1)).get();
-        String page = ReviewPage.html(review(backend));
+        Review review =
+                new Review(
+                        StateViews.review(backend.mState, YearMonth.of(2026, 12)),
+                        Optional.of(StateViews.review(backend.mState, YearMonth.of(2026, 11))));
+        String page = ReviewPage.html(review);
         assertTrue(page.contains("<svg"));
         assertTrue(page.contains("loan&lt;&quot;1&quot;&gt;"));
         assertFalse(page.contains(NAME));
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/ReviewChart.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/ReviewChart.java
@@ -1,10 +1,13 @@
 package org.hornbeamward.pgm.review;
 
+import java.awt.Color;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.Function;
@@ -41,11 +44,11 @@
                         .title(definition.key())
                         .yAxisTitle(definition.unit())
                         .build();
+        chart.getStyler().setChartBackgroundColor(Color.WHITE);
         List<String> names = rows.stream().map(Review.Row::subject).toList();
         review.againstMonth()
-                .ifPresent(
-                        month -> chart.addSeries(month, names, values(rows, Review.Row::against)));
-        chart.addSeries(review.month(), names, values(rows, Review.Row::value));
+                .ifPresent(month -> add(chart, month, names, values(rows, Review.Row::against)));
+        add(chart, review.month(), names, values(rows, Review.Row::value));
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         try {
             VectorGraphicsEncoder.saveVectorGraphic(chart, out, VectorGraphicsFormat.SVG);
@@ -56,8 +59,22 @@
         return document.substring(document.indexOf("<svg"));
     }
 
+    /** A series without any value would leave the axis without bounds. */
+    private static void add(
+            CategoryChart chart, String month, List<String> names, List<Long> values) {
+        if (values.stream().anyMatch(Objects::nonNull)) {
+            chart.addSeries(month, names, values);
+        }
+    }
+
+    /** Returns the values with null for a missing one, for which no bar is drawn. */
     private static List<Long> values(
             List<Review.Row> rows, Function<Review.Row, OptionalLong> value) {
-        return rows.stream().map(row -> value.apply(row).orElse(0)).toList();
+        List<Long> values = new ArrayList<>();
+        for (Review.Row row : rows) {
+            OptionalLong figure = value.apply(row);
+            values.add(figure.isPresent() ? (Long) figure.getAsLong() : null);
+        }
+        return values;
     }
 }
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/ReviewPage.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/ReviewPage.java
@@ -51,7 +51,9 @@
     private static void appendCharts(StringBuilder page, Review review) {
         for (FigureDefinition definition : CHARTED) {
             List<Review.Row> rows =
-                    review.rows().stream().filter(row -> row.definition() == definition).toList();
+                    review.rows().stream()
+                            .filter(row -> row.definition() == definition && hasValue(row))
+                            .toList();
             if (!rows.isEmpty()) {
                 String chart =
                         ReviewChart.svg(review, definition, rows)
@@ -61,6 +63,10 @@
         }
     }
 
+    private static boolean hasValue(Review.Row row) {
+        return row.value().isPresent() || row.against().isPresent();
+    }
+
     private static void appendTable(StringBuilder page, Review review) {
         page.append("<table><tr><th>about</th><th>name</th><th>figure</th><th>")
                 .append(escape(review.month()))
