--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/FigureDefinition.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/review/FigureDefinition.java
@@ -10,26 +10,28 @@
             Scope.SERVICE,
             "requestCount",
             "requests",
-            "Requests whose latency was reported by a member in the month."),
+            "Requests that an endpoint answered, by the month of the member's report; refused"
+                    + " requests and those of unknown outcome are not counted."),
     /** Median latency. */
     P50(
             Scope.SERVICE,
             "p50Micros",
             "microseconds",
-            "Latency that half of the requests did not exceed, from the request's arrival at the"
-                    + " entry instance to the end of the answer."),
+            "Latency that half of these requests did not exceed, from the time that the entry"
+                    + " instance had received the request whole to the time that it had the"
+                    + " answer whole."),
     /** 99th percentile. */
     P99(
             Scope.SERVICE,
             "p99Micros",
             "microseconds",
-            "Latency that 99% of the requests did not exceed, measured like p50Micros."),
+            "Latency that 99% of these requests did not exceed, measured like p50Micros."),
     /** 99.9th percentile. */
     P999(
             Scope.SERVICE,
             "p999Micros",
             "microseconds",
-            "Latency that 99.9% of the requests did not exceed, measured like p50Micros."),
+            "Latency that 99.9% of these requests did not exceed, measured like p50Micros."),
     /** Batch throughput. */
     FINISHED(
             Scope.TEAM,
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/settings/SettingsLoader.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/settings/SettingsLoader.java
@@ -45,6 +45,7 @@
 
     private static final long MAX_SHUTDOWN_WAIT_MILLIS = 600_000;
     private static final int MAX_FRONT_THREADS = 64;
+    private static final int MAX_PORT = 65_535;
 
     private SettingsLoader() {}
 
@@ -130,18 +131,28 @@
         return workers;
     }
 
+    /** The clients of log and list use their own paths and no TLS, so only these URLs work. */
     private static Either<InvalidSetting, URI> httpUrl(String text) {
         try {
             URI uri = new URI(text);
-            boolean http = "http".equals(uri.getScheme()) || "https".equals(uri.getScheme());
-            if (http && uri.getHost() != null) {
+            String path = uri.getPath() == null ? "" : uri.getPath();
+            boolean accepted =
+                    "http".equals(uri.getScheme())
+                            && uri.getHost() != null
+                            && uri.getPort() != 0
+                            && uri.getPort() <= MAX_PORT
+                            && (path.isEmpty() || path.equals("/"))
+                            && uri.getQuery() == null
+                            && uri.getUserInfo() == null;
+            if (accepted) {
                 return Either.right(uri);
             }
         } catch (URISyntaxException e) {
             // Reported below with the accepted form.
         }
         return Either.left(
-                new InvalidSetting("'" + text + "'", "use a URL such as http://10.0.0.1:9000"));
+                new InvalidSetting(
+                        "'" + text + "'", "use http://host:port, without a path and without TLS"));
     }
 
     private static Either<InvalidSetting, Level> level(String text) {
