Give new members slots sooner and report ready only with slots

A member that joins starts its demand at the mean of the others and is ready once it holds a slot; others give back down to their targets while a member is below the floor.

--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/limits/Load.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/limits/Load.java
@@ -12,6 +12,10 @@
  */
 final class Load {
     private static final int SERVER_ERROR = 500;
+
+    /** Before any member is ready, a request goes to one that refuses it. */
+    private static final int MAX_TRIES = 100;
+
     private static final double NANOS_PER_SECOND = 1e9;
     private static final long NANOS_PER_MICRO = 1_000;
     private static final long TIMEOUT_NANOS = VirtualCluster.TIMEOUT_MILLIS * 1_000_000;
@@ -81,7 +85,7 @@
         }
         int count = mCluster.mMembers.size();
         VirtualMember member = mCluster.mMembers.get(mRandom.nextInt(count));
-        while (!member.mTakesRequests) {
+        for (int tries = 0; tries < MAX_TRIES && !member.mTakesRequests; tries++) {
             member = mCluster.mMembers.get(mRandom.nextInt(count));
         }
         return member;
--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/limits/VirtualMember.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/limits/VirtualMember.java
@@ -36,14 +36,14 @@
     private final InstanceId mId;
     private final SlotUse mUse = new SlotUse();
     private final SlotPlanner mPlanner;
-    private final DemandEstimate mDemand = new DemandEstimate();
+    private final DemandEstimate mDemand;
     private final ServiceLane mLane;
     private RoutingView mView = RoutingView.NONE;
     private boolean mStopping;
     boolean mDead;
 
     /** Whether the load balancer sends it requests. */
-    boolean mTakesRequests = true;
+    boolean mTakesRequests;
 
     long mAttemptCount;
 
@@ -53,6 +53,7 @@
         mVariant = variant;
         mId = id;
         mPlanner = new SlotPlanner(id);
+        mDemand = new DemandEstimate(SlotPlanner.meanDemand(cluster.state()));
         mLane =
                 new ServiceLane(
                         SERVICE,
@@ -147,6 +148,7 @@
         }
         mUse.applied(mCluster.state().slots(), mId);
         publish(true);
+        mTakesRequests |= mView.canSend() && !mStopping;
         mLane.drain();
     }
 
--- a/org.hornbeamward.route.test/tst/org/hornbeamward/route/claim/ClaimDeskTest.java
+++ b/org.hornbeamward.route.test/tst/org/hornbeamward/route/claim/ClaimDeskTest.java
@@ -54,6 +54,11 @@
         return outcome;
     }
 
+    private static RequestOutcome now(CompletableFuture<RequestOutcome> outcome) {
+        assertTrue(outcome.isDone());
+        return outcome.join();
+    }
+
     private static RequestOutcome answer() {
         return new RequestOutcome.Answered(HttpReply.json(200, "{}"));
     }
@@ -69,8 +74,9 @@
         CompletableFuture<RequestOutcome> repeat = run(desk, DIGEST);
         assertFalse(repeat.isDone());
         mSent.get(0).complete(answer());
-        assertEquals(first.join(), repeat.join());
-        assertEquals(first.join(), run(desk, DIGEST).join());
+        assertInstanceOf(RequestOutcome.Answered.class, now(first));
+        assertEquals(now(first), now(repeat));
+        assertEquals(now(first), now(run(desk, DIGEST)));
         assertEquals(1, mSent.size());
     }
 
@@ -78,9 +84,9 @@
     void anotherRequestUnderTheKeyIsRefused() {
         ClaimDesk desk = desk();
         run(desk, DIGEST);
-        assertInstanceOf(RequestOutcome.KeyReused.class, run(desk, DIGEST + 1).join());
+        assertInstanceOf(RequestOutcome.KeyReused.class, now(run(desk, DIGEST + 1)));
         desk.apply(mAppended.get(0));
-        assertInstanceOf(RequestOutcome.KeyReused.class, run(desk, DIGEST + 1).join());
+        assertInstanceOf(RequestOutcome.KeyReused.class, now(run(desk, DIGEST + 1)));
     }
 
     @Test
@@ -89,13 +95,13 @@
         CompletableFuture<RequestOutcome> first = run(desk, DIGEST);
         mNowNanos = 2_000;
         desk.expire();
-        assertInstanceOf(RequestOutcome.NotRun.class, first.join());
+        assertInstanceOf(RequestOutcome.NotRun.class, now(first));
         mNowNanos = 500;
         CompletableFuture<RequestOutcome> second = run(desk, DIGEST);
         desk.apply(mAppended.get(0));
-        assertInstanceOf(RequestOutcome.NotRun.class, second.join());
+        assertInstanceOf(RequestOutcome.NotRun.class, now(second));
         desk.apply(mAppended.get(1));
-        assertInstanceOf(RequestOutcome.NotRun.class, run(desk, DIGEST).join());
+        assertInstanceOf(RequestOutcome.NotRun.class, now(run(desk, DIGEST)));
         assertTrue(mSent.isEmpty());
     }
 
@@ -103,7 +109,7 @@
     void requestIsNotRunWhileTheLogIsDown() {
         ClaimDesk desk = desk();
         mAppendResult = Either.left(new LogUnavailable("503"));
-        assertInstanceOf(RequestOutcome.NotRun.class, run(desk, DIGEST).join());
+        assertInstanceOf(RequestOutcome.NotRun.class, now(run(desk, DIGEST)));
         desk.apply(mAppended.get(0));
         assertTrue(mSent.isEmpty());
     }
@@ -122,11 +128,11 @@
         CompletableFuture<RequestOutcome> crossing = run(other, DIGEST);
         other.apply(mAppended.get(0));
         other.apply(mAppended.get(1));
-        assertInstanceOf(RequestOutcome.Answered.class, crossing.join());
+        assertInstanceOf(RequestOutcome.Answered.class, now(crossing));
         assertEquals(1, mSent.size());
         assertInstanceOf(
                 RequestOutcome.Unknown.class,
-                claimant.answerQuery(2, KEY, 1).toCompletableFuture().join());
+                now(claimant.answerQuery(2, KEY, 1).toCompletableFuture()));
     }
 
     @Test
@@ -135,6 +141,6 @@
         run(desk, DIGEST);
         desk.apply(mAppended.get(0));
         mSent.get(0).complete(new RequestOutcome.Answered(HttpReply.json(200, "x".repeat(20_000))));
-        assertInstanceOf(RequestOutcome.Unknown.class, run(desk, DIGEST).join());
+        assertInstanceOf(RequestOutcome.Unknown.class, now(run(desk, DIGEST)));
     }
 }
--- a/org.hornbeamward.route/src/org/hornbeamward/route/front/FrontServer.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/FrontServer.java
@@ -45,10 +45,10 @@
     /**
      * Tells whether the load balancer may send new requests.
      *
-     * @return false before the first view, while inactive and during a stop
+     * @return false before the first slots are held, while inactive and during a stop
      */
     public boolean isReady() {
-        return mReady && mFront.view().active();
+        return mReady && mFront.view().canSend();
     }
 
     /**
--- a/org.hornbeamward.route/src/org/hornbeamward/route/front/RoutingView.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/RoutingView.java
@@ -74,6 +74,16 @@
         return new RoutingView(state.config().version(), active, services);
     }
 
+    /**
+     * Tells whether requests of some service can be sent.
+     *
+     * @return true if this member may use slots and holds one
+     */
+    public boolean canSend() {
+        return active
+                && services.values().stream().anyMatch(service -> !service.usable().isEmpty());
+    }
+
     /**
      * A service.
      *
--- a/org.hornbeamward.route/src/org/hornbeamward/route/slot/DemandEstimate.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/slot/DemandEstimate.java
@@ -17,8 +17,15 @@
     private boolean mStarted;
     private int mPublished;
 
-    /** Creates an estimate of 0. */
-    public DemandEstimate() {}
+    /**
+     * Creates an estimate for a new member. It starts with what the others need, since the load
+     * balancer sends a new member as much as the others.
+     *
+     * @param firstCount mean demand of the other members
+     */
+    public DemandEstimate(int firstCount) {
+        mEstimate = firstCount;
+    }
 
     /**
      * Adds a sample.
@@ -31,7 +38,7 @@
         double value = (double) usedCount + queuedCount;
         if (!mStarted) {
             mStarted = true;
-            mEstimate = value;
+            mEstimate = Math.max(mEstimate, value);
         } else {
             double seconds = (nowNanos - mLastNanos) / NANOS_PER_SECOND;
             double period = value > mEstimate ? RISE_SECONDS : FALL_SECONDS;
--- a/org.hornbeamward.route/src/org/hornbeamward/route/slot/SlotPlanner.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/slot/SlotPlanner.java
@@ -140,11 +140,40 @@
         int target = targets(state.members().all(), slotCount).getOrDefault(mOwn, 0);
         if (held < target) {
             take(target - held, usable, state, use, waitedToken, changes);
-        } else if (held > target + (int) Math.ceil(target * KEEP_SHARE)) {
+        } else if (held > target + keptCount(target, usable, state)) {
             giveBack(held - target, usable, use, changes);
         }
     }
 
+    /** Without free slots, a member below the floor can only get what others give back. */
+    private static int keptCount(
+            int target, SortedMap<EndpointId, EndpointConfig> usable, ClusterState state) {
+        for (InstanceId member : state.members().all().keySet()) {
+            int held =
+                    usable.keySet().stream()
+                            .mapToInt(endpoint -> state.slots().held(endpoint, member))
+                            .sum();
+            if (held < FLOOR_COUNT) {
+                return 0;
+            }
+        }
+        return (int) Math.ceil(target * KEEP_SHARE);
+    }
+
+    /**
+     * Returns the demand with which a new member starts its estimate.
+     *
+     * @param state the replicated state
+     * @return mean published demand, 0 without members
+     */
+    public static int meanDemand(ClusterState state) {
+        return (int)
+                state.members().all().values().stream()
+                        .mapToInt(Member::demandSlotCount)
+                        .average()
+                        .orElse(0);
+    }
+
     /**
      * Divides slots among members: a floor for each, the rest by published demand, by the method of
      * largest remainders.
