Keep callers' cookies apart

The HTTP client's default cookie store sent cookies that one caller's answer had set with another caller's request. The store is off; EndpointClientTest failed before and passes now.

--- a/org.hornbeamward.route/src/org/hornbeamward/route/front/EndpointClient.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/EndpointClient.java
@@ -45,6 +45,8 @@
                                 // The client's own repeats would run a request twice.
                                 .setMaxRequestRetry(0)
                                 .setFollowRedirect(false)
+                                // A shared store would send one caller's cookies with another's.
+                                .setCookieStore(null)
                                 .setKeepAlive(true)
                                 .setTcpNoDelay(true)
                                 .setConnectTimeout(CONNECT)
