--- a/org.hornbeamward.route.test/tst/org/hornbeamward/route/front/FrontTest.java
+++ b/org.hornbeamward.route.test/tst/org/hornbeamward/route/front/FrontTest.java
@@ -75,6 +75,8 @@
             addresses[index] = "127.0.0.1:" + mEndpoints.get(index).port();
             changes.put(new EndpointId("e" + index), 8);
         }
+        // Long, so that a slot kept after a broken connection is still kept when it is asserted.
+        mCluster.mRequestTimeoutMillis = 30_000;
         mCluster.configureLoan(mOwn, 8, addresses);
         mCluster.append(mOwn, mUse.begin(new ChangeSlots(changes, 0)));
         mUse.applied(mCluster.mState.slots(), mOwn);
@@ -157,6 +159,7 @@
         HttpResponse<String> first = call("POST", "/issue", "k", 500).join();
         HttpResponse<String> repeat = call("POST", "/issue", "k", 500).join();
         assertEquals("unknown", outcome(first));
+        assertEquals(1, mUse.usedInAll());
         assertEquals("unknown", outcome(repeat));
         assertEquals(1, events().size());
         assertEquals(422, call("POST", "/other", "k", 500).join().statusCode());
--- a/org.hornbeamward.route.test/tst/org/hornbeamward/route/slot/Cluster.java
+++ b/org.hornbeamward.route.test/tst/org/hornbeamward/route/slot/Cluster.java
@@ -23,6 +23,9 @@
     /** The state. */
     public final ClusterState mState = new ClusterState();
 
+    /** Cap of a request's timeout in milliseconds. */
+    public long mRequestTimeoutMillis = 1_000;
+
     private final Map<InstanceId, Long> mIncarnations = new HashMap<>();
     private final Map<InstanceId, Long> mSequences = new HashMap<>();
     private long mNextIncarnation = 1;
@@ -78,7 +81,9 @@
         entries.put("domain/d", "{\"region\":\"r\"}");
         entries.put(
                 "service/loan",
-                "{\"agreedPeriodMillis\":200,\"requestTimeoutMillis\":1000,"
+                "{\"agreedPeriodMillis\":200,\"requestTimeoutMillis\":"
+                        + mRequestTimeoutMillis
+                        + ","
                         + "\"idempotentMethods\":[\"GET\"]}");
         for (int index = 0; index < addresses.length; index++) {
             entries.put("endpoint/e" + index, endpoint(addresses[index], slotCount));
