--- /dev/null
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/ChildProcess.java
@@ -0,0 +1,102 @@
+package org.hornbeamward.quickstart;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A Java program started by the quickstart. Its errors and logs go to a file. */
+final class ChildProcess {
+    private final String mName;
+    private final Process mProcess;
+    private final BufferedReader mOutput;
+    private final Path mLogFile;
+
+    ChildProcess(Path folder, String name, String heap, String mainClass, List<String> arguments)
+            throws IOException {
+        mName = name;
+        mLogFile = folder.resolve(name + ".log");
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(
+                List.of(
+                        "-XX:+UseSerialGC",
+                        "-XX:TieredStopAtLevel=1",
+                        "-Xmx" + heap,
+                        "--sun-misc-unsafe-memory-access=allow",
+                        "--enable-native-access=ALL-UNNAMED",
+                        "-Dslf4j.internal.verbosity=ERROR",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        mainClass));
+        command.addAll(arguments);
+        mProcess =
+                new ProcessBuilder(command)
+                        .redirectError(ProcessBuilder.Redirect.appendTo(mLogFile.toFile()))
+                        .start();
+        mOutput =
+                new BufferedReader(
+                        new InputStreamReader(mProcess.getInputStream(), StandardCharsets.UTF_8));
+    }
+
+    String name() {
+        return mName;
+    }
+
+    File logFile() {
+        return mLogFile.toFile();
+    }
+
+    /** Reads lines of standard output up to one that begins with a prefix. */
+    List<String> readUntil(String prefix) throws IOException {
+        List<String> lines = new ArrayList<>();
+        String line = mOutput.readLine();
+        while (line != null) {
+            lines.add(line);
+            if (line.startsWith(prefix)) {
+                drainInBackground();
+                return lines;
+            }
+            line = mOutput.readLine();
+        }
+        throw new IOException(mName + " ended before it was ready; see " + mLogFile);
+    }
+
+    private void drainInBackground() {
+        Thread thread =
+                new Thread(
+                        () -> {
+                            try (java.io.FileWriter out =
+                                    new java.io.FileWriter(
+                                            mLogFile + ".out", StandardCharsets.UTF_8)) {
+                                mOutput.transferTo(out);
+                            } catch (IOException e) {
+                                // The process has ended; there is nothing more to read.
+                                return;
+                            }
+                        },
+                        mName + "-output");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Ends the process with SIGKILL. */
+    void kill() {
+        mProcess.destroyForcibly();
+    }
+
+    /** Sends SIGTERM. */
+    void terminate() {
+        mProcess.destroy();
+    }
+
+    /** Waits for the end; false if it did not come in time. */
+    boolean awaitEnd(long waitMillis) throws InterruptedException {
+        return mProcess.waitFor(waitMillis, TimeUnit.MILLISECONDS);
+    }
+}
