Repair the merge: ask the view for activity, keep the plain demand estimate

The constructor of DemandEstimate is again without an argument, as pgm calls it; a new member's first demand is set with startFrom.

--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/limits/VirtualMember.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/limits/VirtualMember.java
@@ -36,7 +36,7 @@
     private final InstanceId mId;
     private final SlotUse mUse = new SlotUse();
     private final SlotPlanner mPlanner;
-    private final DemandEstimate mDemand;
+    private final DemandEstimate mDemand = new DemandEstimate();
     private final ServiceLane mLane;
     private RoutingView mView = RoutingView.NONE;
     private boolean mStopping;
@@ -53,7 +53,7 @@
         mVariant = variant;
         mId = id;
         mPlanner = new SlotPlanner(id);
-        mDemand = new DemandEstimate(SlotPlanner.meanDemand(cluster.state()));
+        mDemand.startFrom(SlotPlanner.meanDemand(cluster.state()));
         mLane =
                 new ServiceLane(
                         SERVICE,
--- a/org.hornbeamward.route/src/org/hornbeamward/route/front/RoutingView.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/RoutingView.java
@@ -106,7 +106,7 @@
      * @return true if this member may use slots and holds one
      */
     public boolean canSend() {
-        return active
+        return active()
                 && services.values().stream().anyMatch(service -> !service.usable().isEmpty());
     }
 
--- a/org.hornbeamward.route/src/org/hornbeamward/route/slot/DemandEstimate.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/slot/DemandEstimate.java
@@ -17,14 +17,17 @@
     private boolean mStarted;
     private int mPublished;
 
+    /** Creates an estimate of 0. */
+    public DemandEstimate() {}
+
     /**
-     * Creates an estimate for a new member. It starts with what the others need, since the load
-     * balancer sends a new member as much as the others.
+     * Raises the estimate of a new member to what the others need, since the load balancer sends it
+     * as much as the others. To be called once, when the member has joined.
      *
-     * @param firstCount mean demand of the other members
+     * @param firstCount mean demand of the other members, see {@link SlotPlanner#meanDemand}
      */
-    public DemandEstimate(int firstCount) {
-        mEstimate = firstCount;
+    public void startFrom(int firstCount) {
+        mEstimate = Math.max(mEstimate, firstCount);
     }
 
     /**
