--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/limits/VirtualMember.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/limits/VirtualMember.java
@@ -43,7 +43,7 @@
     boolean mDead;
 
     /** Whether the load balancer sends it requests. */
-    boolean mTakesRequests = true;
+    boolean mTakesRequests;
 
     long mAttemptCount;
 
@@ -53,6 +53,7 @@
         mVariant = variant;
         mId = id;
         mPlanner = new SlotPlanner(id);
+        mDemand.startFrom(SlotPlanner.meanDemand(cluster.state()));
         mLane =
                 new ServiceLane(
                         SERVICE,
@@ -147,6 +148,7 @@
         }
         mUse.applied(mCluster.state().slots(), mId);
         publish(true);
+        mTakesRequests |= mView.canSend() && !mStopping;
         mLane.drain();
     }
 
--- a/org.hornbeamward.route/src/org/hornbeamward/route/front/RoutingView.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/RoutingView.java
@@ -100,6 +100,16 @@
         return activity.getAsBoolean();
     }
 
+    /**
+     * Tells whether requests of some service can be sent.
+     *
+     * @return true if this member may use slots and holds one
+     */
+    public boolean canSend() {
+        return active()
+                && services.values().stream().anyMatch(service -> !service.usable().isEmpty());
+    }
+
     /**
      * A service.
      *
--- a/org.hornbeamward.route/src/org/hornbeamward/route/slot/DemandEstimate.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/slot/DemandEstimate.java
@@ -20,6 +20,16 @@
     /** Creates an estimate of 0. */
     public DemandEstimate() {}
 
+    /**
+     * Raises the estimate of a new member to what the others need, since the load balancer sends it
+     * as much as the others. To be called once, when the member has joined.
+     *
+     * @param firstCount mean demand of the other members, see {@link SlotPlanner#meanDemand}
+     */
+    public void startFrom(int firstCount) {
+        mEstimate = Math.max(mEstimate, firstCount);
+    }
+
     /**
      * Adds a sample.
      *
@@ -31,7 +41,7 @@
         double value = (double) usedCount + queuedCount;
         if (!mStarted) {
             mStarted = true;
-            mEstimate = value;
+            mEstimate = Math.max(mEstimate, value);
         } else {
             double seconds = (nowNanos - mLastNanos) / NANOS_PER_SECOND;
             double period = value > mEstimate ? RISE_SECONDS : FALL_SECONDS;
