--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/fake/RunFigures.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/fake/RunFigures.java
@@ -52,6 +52,9 @@
     /** Task seconds that services waited for a placement after their first start. */
     public double mServiceDownSeconds;
 
+    /** Started tasks by team. */
+    public final Map<TeamId, Integer> mStartsByTeam = new TreeMap<>();
+
     /** Declared processors held by tasks, over time. */
     public double mCommittedCoreSeconds;
 
@@ -64,6 +67,7 @@
 
     void started(FakeTask task, RegisterWorker worker, long nowNanos) {
         mLastStartNanos.put(worker.failureDomain(), nowNanos);
+        mStartsByTeam.merge(task.mSpec.team(), 1, Integer::sum);
         Long submitNanos = mSubmitNanos.get(task.mSpec.id());
         if (task.mSpec.urgent() && submitNanos != null) {
             mUrgentStartMillis.recordValue((nowNanos - submitNanos) / 1_000_000);
