--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/ClusterModel.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/ClusterModel.java
@@ -35,6 +35,7 @@
     private static final long AVOID_NANOS = 5_000_000_000L;
 
     private final SortedMap<WorkerId, WorkerModel> mWorkers = new TreeMap<>();
+    private final TreeMap<Long, WorkerModel> mByChange = new TreeMap<>();
     private final Map<Long, Placement> mPlacements = new HashMap<>();
     private final Map<String, Integer> mServiceCounts = new HashMap<>();
     private final Map<FailureDomainId, Resources> mDomainCapacity = new HashMap<>();
@@ -65,7 +66,14 @@
     }
 
     void touch(WorkerModel worker) {
+        mByChange.remove(worker.mChangeSequence);
         worker.mChangeSequence = ++mChangeSequence;
+        mByChange.put(worker.mChangeSequence, worker);
+    }
+
+    /** Returns the workers on which room may have become free after a change sequence. */
+    Collection<WorkerModel> changedAfter(long sequence) {
+        return mByChange.tailMap(sequence, false).values();
     }
 
     Map<FailureDomainId, Resources> domainCapacity() {
@@ -137,6 +145,7 @@
 
     private void remove(WorkerModel worker) {
         mWorkers.remove(worker.worker());
+        mByChange.remove(worker.mChangeSequence);
         FailureDomainId domain = worker.mStatus.registration().failureDomain();
         Resources left =
                 mDomainCapacity.getOrDefault(domain, Resources.NONE).minus(worker.capacity());
@@ -158,7 +167,9 @@
         if (worker.mInFlight.containsKey(task.task())) {
             worker.removeInFlight(task.task());
             count(worker, task, -1);
-            touch(worker);
+            if (mWorkers.get(worker.worker()) == worker) {
+                touch(worker);
+            }
         }
     }
 
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Placer.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Placer.java
@@ -31,6 +31,12 @@
     /** Failed searches are forgotten after this time, since ramps and estimates change. */
     private static final long MEMO_NANOS = 1_000_000_000L;
 
+    /**
+     * Workers rated per search. A good choice among many that have room gains little over a good
+     * choice among some, and the cost of a search on a large empty cluster stays bounded.
+     */
+    private static final int MAX_CANDIDATES = 40;
+
     private record Shape(String className, JobKind kind, boolean urgent, Resources need) {}
 
     /**
@@ -86,9 +92,12 @@
             JobSpec job, TaskStatus task, long failedAt, long nowNanos) {
         Map<FailureDomainId, Boolean> allowed = new HashMap<>();
         List<WorkerModel> candidates = new ArrayList<>();
-        for (WorkerModel worker : mCluster.workers()) {
-            if (worker.mChangeSequence <= failedAt
-                    || !job.resources().fitsIn(worker.free())
+        // The least recently changed workers come first, so successive searches differ.
+        for (WorkerModel worker : mCluster.changedAfter(failedAt)) {
+            if (candidates.size() >= MAX_CANDIDATES) {
+                break;
+            }
+            if (!job.resources().fitsIn(worker.free())
                     || !usable(job, task.failedWorkers(), worker, nowNanos)) {
                 continue;
             }
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Reservations.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/Reservations.java
@@ -48,7 +48,9 @@
         Reservation reservation = mByTask.remove(task);
         if (reservation != null) {
             reservation.worker().unreserve(reservation.need());
-            mCluster.touch(reservation.worker());
+            if (mCluster.worker(reservation.worker().worker()) == reservation.worker()) {
+                mCluster.touch(reservation.worker());
+            }
         }
     }
 
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/InterferencePolicy.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/InterferencePolicy.java
@@ -58,6 +58,18 @@
     /** Rate at which measured over declared processor use is followed. */
     private static final double USE_RATE = 0.01;
 
+    /** Scores of a worker are kept for this time while its tasks are the same. */
+    private static final long SCORE_NANOS = 1_000_000_000L;
+
+    private record ScoreKey(String className, long cpuMillicores, long memoryMib) {}
+
+    private static final class Scores {
+        List<ResidentTask> mTasks = List.of();
+        long mExpiresNanos = Long.MIN_VALUE;
+        final Map<ScoreKey, Double> mValues = new HashMap<>();
+    }
+
+    private final Map<WorkerId, Scores> mScores = new HashMap<>();
     private final SlowdownModel mModel = new SlowdownModel();
     private final SlowdownTable mTable;
     private final Map<WorkerId, HarmWatch> mWatches = new HashMap<>();
@@ -95,6 +107,27 @@
 
     @Override
     public double score(JobSpec job, WorkerView worker) {
+        Scores scores = mScores.computeIfAbsent(worker.worker(), id -> new Scores());
+        if (scores.mTasks != worker.tasks() || mNowNanos >= scores.mExpiresNanos) {
+            scores.mTasks = worker.tasks();
+            scores.mExpiresNanos = mNowNanos + SCORE_NANOS;
+            scores.mValues.clear();
+        }
+        ScoreKey key =
+                new ScoreKey(
+                        job.className(),
+                        job.resources().cpuMillicores(),
+                        job.resources().memoryMib());
+        Double known = scores.mValues.get(key);
+        if (known != null) {
+            return known;
+        }
+        double score = compute(job, worker);
+        scores.mValues.put(key, score);
+        return score;
+    }
+
+    private double compute(JobSpec job, WorkerView worker) {
         boolean service = job.kind() == JobKind.SERVICE;
         mModel.declare(job.className(), service);
         HarmWatch watch = mWatches.get(worker.worker());
