--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/EntryProcess.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/EntryProcess.java
@@ -78,15 +78,7 @@
                         settings.logUrl().getHost(), port(settings.logUrl()), LOG_TIMEOUT_MILLIS);
         mAppenders = new AppenderDuty(mLog, mClock);
         AnswerQueries answers = new AnswerQueries(mRing, mClock);
-        ClaimDesk claims =
-                new ClaimDesk(
-                        settings.instance(),
-                        new SecureRandom().nextLong() >>> 16,
-                        record -> mLog.append(RequestsFollower.REQUESTS_STREAM, record.encode()),
-                        answers,
-                        mClock,
-                        System::currentTimeMillis,
-                        MAX_ANSWER_BYTES);
+        ClaimDesk claims = claimDesk(settings, answers);
         FrontConfig frontConfig = frontConfig(settings);
         Front front = new Front(frontConfig, mSlotUse, claims, mLatency);
         Runnable reload = () -> mLoadWanted.set(true);
@@ -132,25 +124,15 @@
                         parts,
                         new DecisionStep(settings.instance(), mKernel.registry()),
                         snapshots);
-        StreamFollower control =
-                new StreamFollower(
-                        mLog,
-                        Incarnation.CONTROL_STREAM,
-                        0,
-                        event -> mRing.offer(new ControlEvent.LogFollowed(event)),
-                        new JitteredBackoff(new SecureRandom(), 250, 8_000),
-                        mClock,
-                        LOG_READ_INTERVAL_MILLIS);
+        StreamFollower control = controlFollower();
         mBootstrap = new Bootstrap(mLog, mRing, control, requests, mLoadWanted);
-        mPoller =
-                new InstanceListPoller(
-                        settings.listUrl().getHost(),
-                        port(settings.listUrl()),
-                        LIST_POLL_MILLIS,
-                        LIST_POLL_MILLIS,
-                        list -> mRing.offerOrDrop(new ControlEvent.ListChanged(list)),
-                        mClock);
+        mPoller = poller(settings);
         EntryMetrics.register(metrics, mControl, mRing, mAppenders, control, mCounters, mLatency);
+        startDuties(control, requests, snapshots);
+    }
+
+    private void startDuties(
+            StreamFollower control, RequestsFollower requests, SnapshotStep snapshots) {
         mKernel.start(mBootstrap);
         mKernel.start(new StartedWhenLoaded(control, mBootstrap));
         mKernel.start(new StartedWhenLoaded(mAppenders, mBootstrap));
@@ -160,6 +142,38 @@
         mKernel.start(mControl);
     }
 
+    private ClaimDesk claimDesk(EntrySettings settings, AnswerQueries answers) {
+        return new ClaimDesk(
+                settings.instance(),
+                new SecureRandom().nextLong() >>> 16,
+                record -> mLog.append(RequestsFollower.REQUESTS_STREAM, record.encode()),
+                answers,
+                mClock,
+                System::currentTimeMillis,
+                MAX_ANSWER_BYTES);
+    }
+
+    private StreamFollower controlFollower() {
+        return new StreamFollower(
+                mLog,
+                Incarnation.CONTROL_STREAM,
+                0,
+                event -> mRing.offer(new ControlEvent.LogFollowed(event)),
+                new JitteredBackoff(new SecureRandom(), 250, 8_000),
+                mClock,
+                LOG_READ_INTERVAL_MILLIS);
+    }
+
+    private InstanceListPoller poller(EntrySettings settings) {
+        return new InstanceListPoller(
+                settings.listUrl().getHost(),
+                port(settings.listUrl()),
+                LIST_POLL_MILLIS,
+                LIST_POLL_MILLIS,
+                list -> mRing.offerOrDrop(new ControlEvent.ListChanged(list)),
+                mClock);
+    }
+
     private static int port(URI uri) {
         return uri.getPort() > 0 ? uri.getPort() : 80;
     }
