--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/ControlDuty.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/ControlDuty.java
@@ -61,6 +61,7 @@
     private final DemandEstimate mDemand = new DemandEstimate();
     private final PendingCommands mPending = new PendingCommands();
     private final UsageFeed mUsage = new UsageFeed();
+    private final UsageForwarder mForwarder = new UsageForwarder();
     private final ConfigHistory mHistory = new ConfigHistory();
     private final DecisionStep mDecisions;
     private final SnapshotStep mSnapshots;
@@ -251,15 +252,22 @@
         mParts.slotUse().lose();
         mIncarnation = mParts.appenders().begin(mParts.place());
         mIncarnation.monitor().onMembers(mState.members(), nowNanos);
+        mDemand.startFrom(SlotPlanner.meanDemand(mState));
         mDecisions.reset();
         mFigureSequence = 0;
     }
 
     private void onLoaded(ClusterState state, long nowNanos) {
+        boolean again = mKnownEpoch >= 0;
         mState = state;
         mKnownEpoch = -1;
+        if (again) {
+            // What became of this incarnation's last commands may lie before the snapshot.
+            rejoin(nowNanos);
+        }
         onMembers(nowNanos);
         mSupervisor.onState(mState, List.of(), nowNanos);
+        mDemand.startFrom(SlotPlanner.meanDemand(mState));
         mDecisions.reset();
         mRoutingDirty = true;
     }
@@ -373,12 +381,15 @@
                 .forEach(message -> mWorkerLinks.send(message.worker(), message.message()));
         output.commands().forEach(mIncarnation::offer);
         if (mPeriods.mUsage.due(nowNanos)) {
-            UsageReport report = mSupervisor.usage().takeChanged(true);
-            if (report.workers().isEmpty()) {
-                return;
-            }
+            mForwarder.take(mSupervisor.usage(), mState).forEach(this::forward);
+        }
+    }
+
+    private void forward(InstanceId decider, UsageReport report) {
+        if (decider.equals(mOwn)) {
             mUsage.add(report);
-            mMesh.broadcast(report);
+        } else {
+            mMesh.send(decider, report);
         }
     }
 
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/ChildProcess.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/ChildProcess.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -17,7 +19,12 @@
     private final BufferedReader mOutput;
     private final Path mLogFile;
 
-    ChildProcess(Path folder, String name, String heap, String mainClass, List<String> arguments)
+    ChildProcess(
+            Path folder,
+            String name,
+            List<String> javaOptions,
+            String mainClass,
+            List<String> arguments)
             throws IOException {
         mName = name;
         mLogFile = folder.resolve(name + ".log");
@@ -27,13 +34,13 @@
                 List.of(
                         "-XX:+UseSerialGC",
                         "-XX:TieredStopAtLevel=1",
-                        "-Xmx" + heap,
                         "--sun-misc-unsafe-memory-access=allow",
                         "--enable-native-access=ALL-UNNAMED",
                         "-Dslf4j.internal.verbosity=ERROR",
                         "-cp",
-                        System.getProperty("java.class.path"),
-                        mainClass));
+                        System.getProperty("java.class.path")));
+        command.addAll(javaOptions);
+        command.add(mainClass);
         command.addAll(arguments);
         mProcess =
                 new ProcessBuilder(command)
@@ -85,6 +92,24 @@
         thread.start();
     }
 
+    /** Returns the resident memory, 0 if it cannot be read. */
+    double residentMib() {
+        try {
+            return Files.readAllLines(Path.of("/proc/" + mProcess.pid() + "/status")).stream()
+                    .filter(line -> line.startsWith("VmRSS:"))
+                    .mapToDouble(line -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / 1_024)
+                    .findFirst()
+                    .orElse(0);
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** Returns the processor time used so far. */
+    double cpuSeconds() {
+        return mProcess.info().totalCpuDuration().orElse(Duration.ZERO).toMillis() / 1_000.0;
+    }
+
     /** Ends the process with SIGKILL. */
     void kill() {
         mProcess.destroyForcibly();
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Entry.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Entry.java
@@ -9,11 +9,22 @@
 
 /** One entry instance as a process. */
 final class Entry {
+    /** As in tools/hornbeamward-entry. */
+    private static final List<String> JAVA_OPTIONS =
+            List.of(
+                    "-Xms24m",
+                    "-Xmx64m",
+                    "-Xss512k",
+                    "-XX:ReservedCodeCacheSize=32m",
+                    "-XX:MaxDirectMemorySize=24m",
+                    "-Dio.netty.allocator.type=unpooled");
+
     private final String mInstance;
     private final String mFailureDomain;
     private final ChildProcess mProcess;
     private final int mRequestPort;
     private final int mAdminPort;
+    private final long mStartedNanos = System.nanoTime();
 
     private Entry(
             String instance,
@@ -47,7 +58,7 @@
                 new ChildProcess(
                         folder,
                         instance,
-                        "128m",
+                        JAVA_OPTIONS,
                         EntryMain.class.getName(),
                         List.of("--settings", file.toString()));
         List<String> lines = process.readUntil("listening");
@@ -72,6 +83,10 @@
         return mProcess;
     }
 
+    long startedNanos() {
+        return mStartedNanos;
+    }
+
     int requestPort() {
         return mRequestPort;
     }
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/QuickstartMain.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/QuickstartMain.java
@@ -59,7 +59,8 @@
                 rules.checkWorkers(workerEvents, deployment, scenario.timeline());
                 rules.checkRequests(endpointEvents, attempts, scenario.timeline());
                 rules.checkConfig(scenario.timeline());
-                return report(rules, attempts, workerEvents, endpointEvents);
+                return report(
+                        rules, attempts, workerEvents, endpointEvents, scenario.timeline());
             } finally {
                 scenario.close();
             }
@@ -67,7 +68,11 @@
     }
 
     private int report(
-            Rules rules, List<Attempt> attempts, JsonNode workerEvents, JsonNode endpointEvents) {
+            Rules rules,
+            List<Attempt> attempts,
+            JsonNode workerEvents,
+            JsonNode endpointEvents,
+            Timeline timeline) {
         ObjectNode result = Http.JSON.createObjectNode();
         ObjectNode byRule = Http.JSON.createObjectNode();
         int violations = 0;
@@ -83,6 +88,10 @@
         result.put("violations", violations);
         result.set("rules", byRule);
         addFigures(result, attempts, workerEvents, endpointEvents);
+        ObjectNode figures = (ObjectNode) result.path("figures");
+        figures.put("entryResidentMib", timeline.mEntryResidentMib);
+        figures.put("entryCpuSeconds", timeline.mEntryCpuSeconds);
+        figures.put("entryRunSeconds", timeline.mEntryRunSeconds);
         if (mJson) {
             System.out.println(result);
         } else {
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
@@ -73,6 +73,7 @@
         mPlatform.workerFaults("{\"worker\":\"w3\",\"restart\":true}");
         Thread.sleep(4_000);
         mPlatform.endpointFaults("{}");
+        noteUse(mEntries.get(0));
         stopGracefully(mEntries.get(0));
         mCallers.finish();
         for (Entry entry : List.copyOf(mEntries)) {
@@ -80,6 +81,12 @@
         }
     }
 
+    private void noteUse(Entry entry) {
+        mTimeline.mEntryResidentMib = entry.process().residentMib();
+        mTimeline.mEntryCpuSeconds = entry.process().cpuSeconds();
+        mTimeline.mEntryRunSeconds = (System.nanoTime() - entry.startedNanos()) / 1e9;
+    }
+
     private void say(String step) {
         System.out.printf("%tT  %s%n", System.currentTimeMillis(), step);
     }
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Timeline.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Timeline.java
@@ -14,6 +14,12 @@
     final List<ConfigCheck> mConfigChecks = new ArrayList<>();
     final List<Boolean> mRaces = new ArrayList<>();
 
+    /** Use of an entry instance that ran from the start to the end of the load. */
+    double mEntryResidentMib;
+
+    double mEntryCpuSeconds;
+    double mEntryRunSeconds;
+
     /** A planned stop of an entry instance. */
     record PlannedStop(String instance, long startedNanos, boolean ended) {}
 
