Spare urgent work from interference stops and try a full team queue once

Three of 723 urgent tasks were stopped for interference and started again after up to 107 s; urgent work is no longer reduced. A team without room was rated once per job and step; it is now rated once per call.

--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/QueueRound.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/decide/QueueRound.java
@@ -144,6 +144,11 @@
                 bestRate = rate;
             }
         }
+        if (bestRate == Double.NEGATIVE_INFINITY) {
+            // None has room, so the oldest is tried for a reservation and the others are not.
+            queue.mJobs.clear();
+            queue.mJobs.add(oldest);
+        }
         return best;
     }
 
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/InterferencePolicy.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/policy/InterferencePolicy.java
@@ -261,7 +261,8 @@
         List<ResidentTask> batch = new ArrayList<>();
         for (ResidentTask task : worker.tasks()) {
             boolean seen = watch.mThrottlePercentByToken.containsKey(task.token());
-            if (task.batch() && seen && relief(worker, task) >= LEAST_RELIEF) {
+            boolean reducible = task.batch() && !task.spec().urgent() && seen;
+            if (reducible && relief(worker, watch, task) >= LEAST_RELIEF) {
                 batch.add(task);
             }
         }
@@ -269,7 +270,7 @@
                 batch.stream()
                         .max(
                                 Comparator.comparingDouble(
-                                                (ResidentTask task) -> relief(worker, task))
+                                                (ResidentTask task) -> relief(worker, watch, task))
                                         .thenComparing(ResidentTask::task))
                         .orElse(null);
         if (worst == null) {
@@ -287,12 +288,14 @@
     }
 
     /** Predicts by how much the worst service would get faster without a task. */
-    private double relief(WorkerView worker, ResidentTask task) {
+    private double relief(WorkerView worker, HarmWatch watch, ResidentTask task) {
         double capacity = worker.capacity().cpuMillicores() / 1000.0;
         double share =
                 task.spec().resources().cpuMillicores()
                         / 1000.0
                         * useRatio(task.spec().className())
+                        * watch.mThrottlePercentByToken.getOrDefault(task.token(), 100)
+                        / 100.0
                         / capacity;
         double best = 0;
         for (Map.Entry<String, ClassLoad> entry : worker.loads().entrySet()) {
