--- /dev/null
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/capacity/Meter.java
@@ -0,0 +1,58 @@
+package org.hornbeamward.bench.capacity;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryMXBean;
+import java.lang.management.ThreadMXBean;
+import java.util.Arrays;
+import java.util.function.Supplier;
+
+/** Measures processor time of the calling thread and retained heap. */
+final class Meter {
+    private static final int REPEAT_COUNT = 15;
+    private static final int GC_COUNT = 5;
+    private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+    private static final MemoryMXBean MEMORY = ManagementFactory.getMemoryMXBean();
+
+    private Meter() {}
+
+    static long cpuNanos() {
+        return THREADS.getCurrentThreadCpuTime();
+    }
+
+    /** Runs the work twice as often for warm-up and returns the median of the measured runs. */
+    static double medianCpuNanos(Runnable work) {
+        for (int i = 0; i < 2 * REPEAT_COUNT; i++) {
+            work.run();
+        }
+        double[] nanos = new double[REPEAT_COUNT];
+        for (int i = 0; i < REPEAT_COUNT; i++) {
+            long before = cpuNanos();
+            work.run();
+            nanos[i] = cpuNanos() - before;
+        }
+        return median(nanos);
+    }
+
+    static double median(double[] values) {
+        double[] sorted = values.clone();
+        Arrays.sort(sorted);
+        return sorted[sorted.length / 2];
+    }
+
+    /** Returns the heap that is live because of what the supplier builds. */
+    static double retainedBytes(Supplier<Object> build) {
+        long before = usedBytes();
+        Object built = build.get();
+        long after = usedBytes();
+        java.lang.ref.Reference.reachabilityFence(built);
+        return after - before;
+    }
+
+    private static long usedBytes() {
+        // With the serial collector, garbage was still counted after two calls and not after four.
+        for (int i = 0; i < GC_COUNT; i++) {
+            System.gc();
+        }
+        return MEMORY.getHeapMemoryUsage().getUsed();
+    }
+}
