Limit the tasks kept of ended jobs and name the unit in keys of fits

Cause: 2,000 ended jobs are kept with their tasks, of up to 10,000 each. Fits by different units of one series shared the key of their intercept. Change: the oldest ended jobs are dropped beyond 100,000 tasks in all (11.2 MB).

--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/capacity/Report.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/capacity/Report.java
@@ -27,8 +27,8 @@
         }
         LineFit fit = LineFit.of(x, y);
         add(key + ".slopePer" + perUnit, fit.slope());
-        add(key + ".intercept", fit.intercept());
-        add(key + ".determination", fit.determination());
+        add(key + ".interceptOf" + perUnit, fit.intercept());
+        add(key + ".determinationOf" + perUnit, fit.determination());
         return fit;
     }
 
--- a/org.hornbeamward/src/org/hornbeamward/state/WorkSnapshot.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/WorkSnapshot.java
@@ -6,6 +6,7 @@
 import org.hornbeamward.command.JobSpec;
 import org.hornbeamward.command.RegisterWorker;
 import org.hornbeamward.command.StopReason;
+import org.hornbeamward.lib.JobId;
 import org.hornbeamward.lib.Resources;
 import org.hornbeamward.lib.TaskId;
 import org.hornbeamward.lib.WorkerId;
@@ -40,7 +41,10 @@
             readJob(in, work);
         }
         for (int left = in.array(); left > 0; left--) {
-            work.mEndedJobs.addLast(in.job());
+            JobId id = in.job();
+            JobStatus job = work.mJobs.get(id);
+            work.mEndedJobs.addLast(id);
+            work.mEndedTaskCount += job == null ? 0 : job.mTasks.size();
         }
         for (int left = in.array(); left > 0; left--) {
             work.mEndedJobIds.add(in.job());
--- a/org.hornbeamward/src/org/hornbeamward/state/WorkTable.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/WorkTable.java
@@ -47,12 +47,22 @@
 
     private static final int MAX_ENDED_JOBS = 2_000;
 
+    /**
+     * Most tasks of ended jobs, at 112 bytes each. Without this limit 2,000 ended jobs could hold
+     * 20 million tasks.
+     */
+    static final int MAX_ENDED_TASKS = 100_000;
+
     /** Names of ended jobs are kept longer than their tasks, so that no name is used twice. */
     private static final int MAX_ENDED_JOB_IDS = 20_000;
 
     final SortedMap<WorkerId, WorkerStatus> mWorkers = new TreeMap<>();
     final SortedMap<JobId, JobStatus> mJobs = new TreeMap<>();
     final Deque<JobId> mEndedJobs = new ArrayDeque<>();
+
+    /** Tasks of the jobs in {@link #mEndedJobs}. */
+    int mEndedTaskCount;
+
     final Set<JobId> mEndedJobIds = new LinkedHashSet<>();
     final SortedSet<TaskId> mPending = new TreeSet<>();
     final SortedMap<TeamId, Resources> mUsedByTeam = new TreeMap<>();
@@ -381,8 +391,10 @@
         }
         mEndedJobs.addLast(job.mSpec.id());
         mEndedJobIds.add(job.mSpec.id());
-        if (mEndedJobs.size() > MAX_ENDED_JOBS) {
-            mJobs.remove(mEndedJobs.removeFirst());
+        mEndedTaskCount += job.mTasks.size();
+        while (mEndedJobs.size() > MAX_ENDED_JOBS || mEndedTaskCount > MAX_ENDED_TASKS) {
+            JobStatus oldest = mJobs.remove(mEndedJobs.removeFirst());
+            mEndedTaskCount -= oldest == null ? 0 : oldest.mTasks.size();
         }
         if (mEndedJobIds.size() > MAX_ENDED_JOB_IDS) {
             mEndedJobIds.remove(mEndedJobIds.iterator().next());
