Count log time without trusting one wall clock

Cause: log time was the highest author wall time. One member with its clock set forward made every claim expire, so a non-idempotent request could run twice, and moved the review to another month for good. Change: claims age by each author's own clock, at most ten minutes a record; the month follows the lower median of the members' clocks.

--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Platform.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Platform.java
@@ -70,7 +70,8 @@
 
     private ChildProcess start(Path folder, String name, Class<?> main, List<String> arguments)
             throws IOException {
-        ChildProcess process = new ChildProcess(folder, name, List.of("-Xmx400m"), main.getName(), arguments);
+        ChildProcess process =
+                new ChildProcess(folder, name, List.of("-Xmx400m"), main.getName(), arguments);
         mProcesses.add(process);
         return process;
     }
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/QuickstartMain.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/QuickstartMain.java
@@ -59,8 +59,7 @@
                 rules.checkWorkers(workerEvents, deployment, scenario.timeline());
                 rules.checkRequests(endpointEvents, attempts, scenario.timeline());
                 rules.checkConfig(scenario.timeline());
-                return report(
-                        rules, attempts, workerEvents, endpointEvents, scenario.timeline());
+                return report(rules, attempts, workerEvents, endpointEvents, scenario.timeline());
             } finally {
                 scenario.close();
             }
--- a/org.hornbeamward.route/src/org/hornbeamward/route/claim/ClaimTable.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/claim/ClaimTable.java
@@ -28,12 +28,19 @@
     /** Most keys; a claim beyond them is ignored, so its request is not run. */
     public static final int MAX_KEYS = 200_000;
 
+    /**
+     * Most log time that one record adds. A wall clock that is set forward may not make all keys
+     * expire at once, since their requests could then run twice.
+     */
+    static final long MAX_STEP_MILLIS = 10 * 60 * 1_000L;
+
     private static final int FORMAT_VERSION = 1;
     private static final int HEADER_FIELDS = 4;
 
     private final ClaimRing mRing;
     private final int mMaxKeys;
     private final List<Author> mAuthors = new ArrayList<>();
+    private final List<AuthorClock> mClocks = new ArrayList<>();
     private final Map<Author, Integer> mAuthorIndex = new HashMap<>();
     private long mLogTimeMillis;
 
@@ -53,15 +60,19 @@
      * @param record the decoded record
      */
     public void apply(ClaimRecord record) {
-        mLogTimeMillis = Math.max(mLogTimeMillis, record.authorWallMillis());
+        Author author = new Author(record.instance(), record.incarnation());
+        advance(author, record.authorWallMillis());
         while (mRing.size() > 0 && mRing.oldestMillis() + KEEP_MILLIS <= mLogTimeMillis) {
             mRing.removeOldest();
         }
         if (mRing.size() == 0) {
             mAuthors.clear();
+            mClocks.clear();
             mAuthorIndex.clear();
+            mClocks.set(
+                    indexOf(author),
+                    new AuthorClock(true, record.authorWallMillis(), mLogTimeMillis));
         }
-        Author author = new Author(record.instance(), record.incarnation());
         for (Claim claim : record.claims()) {
             if (!isFull() && mRing.find(claim.key()) < 0) {
                 mRing.add(claim, indexOf(author), mLogTimeMillis);
@@ -69,6 +80,20 @@
         }
     }
 
+    /**
+     * Advances log time by what an author's own clock shows since its last record, so that clocks
+     * of different authors are never compared.
+     */
+    private void advance(Author author, long wallMillis) {
+        int index = indexOf(author);
+        AuthorClock last = mClocks.get(index);
+        long step =
+                last.started() ? Math.clamp(wallMillis - last.wallMillis(), 0, MAX_STEP_MILLIS) : 0;
+        long ownMillis = (last.started() ? last.ownMillis() : mLogTimeMillis) + step;
+        mClocks.set(index, new AuthorClock(true, wallMillis, ownMillis));
+        mLogTimeMillis = Math.max(mLogTimeMillis, ownMillis);
+    }
+
     /**
      * Finds the first claimant of a key.
      *
@@ -112,6 +137,7 @@
                 author,
                 added -> {
                     mAuthors.add(added);
+                    mClocks.add(new AuthorClock(false, 0, 0));
                     return mAuthors.size() - 1;
                 });
     }
@@ -127,9 +153,13 @@
             packer.packInt(FORMAT_VERSION);
             packer.packLong(mLogTimeMillis);
             packer.packArrayHeader(mAuthors.size());
-            for (Author author : mAuthors) {
-                packer.packString(author.instance().value());
-                packer.packLong(author.incarnation());
+            for (int index = 0; index < mAuthors.size(); index++) {
+                AuthorClock clock = mClocks.get(index);
+                packer.packString(mAuthors.get(index).instance().value());
+                packer.packLong(mAuthors.get(index).incarnation());
+                packer.packBoolean(clock.started());
+                packer.packLong(clock.wallMillis());
+                packer.packLong(clock.ownMillis());
             }
             packer.packArrayHeader(mRing.size());
             for (int age = 0; age < mRing.size(); age++) {
@@ -172,8 +202,14 @@
             table.mLogTimeMillis = unpacker.unpackLong();
             int authors = unpacker.unpackArrayHeader();
             for (int index = 0; index < authors; index++) {
-                table.indexOf(
-                        new Author(new InstanceId(unpacker.unpackString()), unpacker.unpackLong()));
+                Author author =
+                        new Author(new InstanceId(unpacker.unpackString()), unpacker.unpackLong());
+                AuthorClock clock =
+                        new AuthorClock(
+                                unpacker.unpackBoolean(),
+                                unpacker.unpackLong(),
+                                unpacker.unpackLong());
+                table.mClocks.set(table.indexOf(author), clock);
             }
             int count = unpacker.unpackArrayHeader();
             for (int index = 0; index < count; index++) {
@@ -197,4 +233,7 @@
     }
 
     private record Author(InstanceId instance, long incarnation) {}
+
+    /** The author's wall clock at its last record, and the log time that it has counted itself. */
+    private record AuthorClock(boolean started, long wallMillis, long ownMillis) {}
 }
--- a/org.hornbeamward/src/org/hornbeamward/state/ClusterState.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/ClusterState.java
@@ -76,8 +76,9 @@
         author.ifPresent(
                 member ->
                         mMembers.mMembers.put(
-                                member.instance(), member.withSequence(batch.sequence())));
-        mLogTimeMillis = Math.max(mLogTimeMillis, batch.authorWallMillis());
+                                member.instance(),
+                                member.withBatch(batch.sequence(), batch.authorWallMillis())));
+        updateLogTime();
         List<CommandResult> results = new ArrayList<>(batch.commands().size());
         for (int index = 0; index < batch.commands().size(); index++) {
             Command command = batch.commands().get(index);
@@ -175,7 +176,7 @@
     /**
      * Returns the log time, used for the month of figures only.
      *
-     * @return highest author wall time applied so far, in milliseconds since 1970
+     * @return highest median of the members' wall clocks so far, in milliseconds since 1970
      */
     public long logTimeMillis() {
         return mLogTimeMillis;
@@ -248,11 +249,18 @@
             return MemberTable.rejected(join.instance(), "an instance can only join itself");
         }
         List<Member> ended = new ArrayList<>();
-        HornbeamwardError rejection = mMembers.join(join, batch.sequence(), token, ended);
+        HornbeamwardError rejection =
+                mMembers.join(join, batch.sequence(), batch.authorWallMillis(), token, ended);
         freeSlots(ended, token);
+        updateLogTime();
         return rejection;
     }
 
+    private void updateLogTime() {
+        mMembers.medianWallMillis()
+                .ifPresent(median -> mLogTimeMillis = Math.max(mLogTimeMillis, median));
+    }
+
     private @Nullable HornbeamwardError leave(InstanceId author, long token) {
         Member member = mMembers.all().get(author);
         List<Member> ended = new ArrayList<>();
--- a/org.hornbeamward/src/org/hornbeamward/state/Member.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/Member.java
@@ -10,6 +10,7 @@
  * @param join what it declared when it joined
  * @param joinToken token of its accepted join
  * @param lastSequence sequence of its last applied batch
+ * @param lastWallMillis its wall clock at its last applied batch, for figures only
  * @param suspectedBy members that suspect it
  * @param configVersion configuration in force there, as last told
  * @param demandSlotCount slots it could use, as last told
@@ -18,6 +19,7 @@
         JoinMember join,
         long joinToken,
         long lastSequence,
+        long lastWallMillis,
         SortedSet<InstanceId> suspectedBy,
         long configVersion,
         int demandSlotCount) {
@@ -40,15 +42,24 @@
         return join.incarnation();
     }
 
-    Member withSequence(long sequence) {
-        return new Member(join, joinToken, sequence, suspectedBy, configVersion, demandSlotCount);
+    Member withBatch(long sequence, long wallMillis) {
+        return new Member(
+                join, joinToken, sequence, wallMillis, suspectedBy, configVersion, demandSlotCount);
     }
 
     Member withSuspectedBy(SortedSet<InstanceId> suspects) {
-        return new Member(join, joinToken, lastSequence, suspects, configVersion, demandSlotCount);
+        return new Member(
+                join,
+                joinToken,
+                lastSequence,
+                lastWallMillis,
+                suspects,
+                configVersion,
+                demandSlotCount);
     }
 
     Member withRenewal(long version, int demand) {
-        return new Member(join, joinToken, lastSequence, suspectedBy, version, demand);
+        return new Member(
+                join, joinToken, lastSequence, lastWallMillis, suspectedBy, version, demand);
     }
 }
--- a/org.hornbeamward/src/org/hornbeamward/state/MemberTable.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/MemberTable.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
@@ -60,7 +61,7 @@
     }
 
     @Nullable HornbeamwardError join(
-            JoinMember join, long sequence, long token, List<Member> ended) {
+            JoinMember join, long sequence, long wallMillis, long token, List<Member> ended) {
         if (mEndedIncarnations.contains(join.incarnation())) {
             return rejected(join.instance(), "this incarnation has ended; join with a new one");
         }
@@ -71,7 +72,7 @@
         if (older != null) {
             remove(older, token, ended);
         }
-        Member member = new Member(join, token, sequence, new TreeSet<>(), 0, 0);
+        Member member = new Member(join, token, sequence, wallMillis, new TreeSet<>(), 0, 0);
         mMembers.put(join.instance(), member);
         mEpochToken = token;
         return null;
@@ -133,6 +134,15 @@
         }
     }
 
+    /** Returns the lower median of the members' wall clocks; a few wrong clocks do not move it. */
+    OptionalLong medianWallMillis() {
+        long[] walls =
+                mMembers.values().stream().mapToLong(Member::lastWallMillis).sorted().toArray();
+        return walls.length == 0
+                ? OptionalLong.empty()
+                : OptionalLong.of(walls[(walls.length - 1) / 2]);
+    }
+
     private boolean suspectedByAllOthers(Member member) {
         FailureDomainId failureDomain = member.join().failureDomain();
         List<InstanceId> others =
--- a/org.hornbeamward/src/org/hornbeamward/state/StateSnapshot.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/StateSnapshot.java
@@ -95,7 +95,7 @@
 
     private static void writeMember(Writer out, Member member) {
         JoinMember join = member.join();
-        out.array(11)
+        out.array(12)
                 .text(join.instance())
                 .integer(join.incarnation())
                 .text(join.failureDomain())
@@ -104,6 +104,7 @@
                 .text(join.adminAddress())
                 .integer(member.joinToken())
                 .integer(member.lastSequence())
+                .integer(member.lastWallMillis())
                 .list(member.suspectedBy(), out::text)
                 .integer(member.configVersion())
                 .integer(member.demandSlotCount());
@@ -122,7 +123,7 @@
     }
 
     private static Member readMember(Reader in) {
-        in.array(11);
+        in.array(12);
         JoinMember join =
                 new JoinMember(
                         in.instance(),
@@ -133,11 +134,19 @@
                         in.text());
         long joinToken = in.integer();
         long lastSequence = in.integer();
+        long lastWallMillis = in.integer();
         TreeSet<InstanceId> suspects = new TreeSet<>();
         for (int left = in.array(); left > 0; left--) {
             suspects.add(in.instance());
         }
-        return new Member(join, joinToken, lastSequence, suspects, in.integer(), in.smallInteger());
+        return new Member(
+                join,
+                joinToken,
+                lastSequence,
+                lastWallMillis,
+                suspects,
+                in.integer(),
+                in.smallInteger());
     }
 
     private static void writeConfig(Writer out, ConfigTable config) {
