--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/ControlDuty.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/ControlDuty.java
@@ -5,11 +5,11 @@
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.hornbeamward.codec.BatchCodec;
 import org.hornbeamward.command.ChangeSlots;
 import org.hornbeamward.command.Command;
 import org.hornbeamward.command.CommandBatch;
+import org.hornbeamward.command.IdentifiedCommand;
 import org.hornbeamward.command.LeaveMember;
 import org.hornbeamward.command.RenewMember;
 import org.hornbeamward.command.ReportFigures;
@@ -61,11 +61,13 @@
     private final DemandEstimate mDemand = new DemandEstimate();
     private final PendingCommands mPending = new PendingCommands();
     private final UsageFeed mUsage = new UsageFeed();
+    private final UsageForwarder mForwarder = new UsageForwarder();
     private final ConfigHistory mHistory = new ConfigHistory();
     private final DecisionStep mDecisions;
     private final SnapshotStep mSnapshots;
     private final Periods mPeriods = new Periods();
-    private final AtomicBoolean mActive = new AtomicBoolean();
+    private final ActivityWindow mWindow;
+    private boolean mWasActive;
 
     private ClusterState mState = new ClusterState();
     private Incarnation mIncarnation;
@@ -81,6 +83,7 @@
         mParts = parts;
         mClock = parts.clock();
         mRing = parts.ring();
+        mWindow = new ActivityWindow(mClock);
         mOwn = parts.place().instance();
         mSupervisor = new WorkerSupervisor(mOwn);
         mMesh = new PeerMesh(mOwn, parts.loops(), mRing, parts.counters());
@@ -118,7 +121,7 @@
 
     /** Tells whether this member may act. May be called by any thread. */
     boolean active() {
-        return mActive.get();
+        return mWindow.isOpen();
     }
 
     boolean offer(Command command) {
@@ -207,12 +210,11 @@
     private void onResult(CommandResult result, boolean own) {
         Command command = result.command();
         CommandEvents.log(result, mState);
-        String commandId = CommandEvents.commandIdOf(command);
-        if (commandId != null) {
+        if (command instanceof IdentifiedCommand identified) {
             mRoutingDirty = true;
             mHistory.record(result, mState.logTimeMillis());
             if (own) {
-                mPending.complete(commandId, result, mState.verdicts());
+                mPending.complete(identified.commandId(), result, mState.verdicts());
             }
             return;
         }
@@ -250,15 +252,22 @@
         mParts.slotUse().lose();
         mIncarnation = mParts.appenders().begin(mParts.place());
         mIncarnation.monitor().onMembers(mState.members(), nowNanos);
+        mDemand.startFrom(SlotPlanner.meanDemand(mState));
         mDecisions.reset();
         mFigureSequence = 0;
     }
 
     private void onLoaded(ClusterState state, long nowNanos) {
+        boolean again = mKnownEpoch >= 0;
         mState = state;
         mKnownEpoch = -1;
+        if (again) {
+            // What became of this incarnation's last commands may lie before the snapshot.
+            rejoin(nowNanos);
+        }
         onMembers(nowNanos);
         mSupervisor.onState(mState, List.of(), nowNanos);
+        mDemand.startFrom(SlotPlanner.meanDemand(mState));
         mDecisions.reset();
         mRoutingDirty = true;
     }
@@ -335,7 +344,9 @@
 
     private void tick(long nowNanos) {
         boolean active = mIncarnation.monitor().active(nowNanos);
-        boolean changed = mActive.getAndSet(active) != active;
+        mWindow.set(mIncarnation.monitor().activeUntilNanos());
+        boolean changed = mWasActive != active;
+        mWasActive = active;
         if (changed) {
             (active ? LogEvent.MEMBER_ACTIVE : LogEvent.MEMBER_INACTIVE).log();
         }
@@ -350,7 +361,7 @@
             planSlots(nowNanos);
         }
         if (mRoutingDirty || changed) {
-            publishRouting(active);
+            publishRouting();
         }
         if (mPeriods.mExpiry.due(nowNanos)) {
             mPending.expire(nowNanos);
@@ -370,12 +381,15 @@
                 .forEach(message -> mWorkerLinks.send(message.worker(), message.message()));
         output.commands().forEach(mIncarnation::offer);
         if (mPeriods.mUsage.due(nowNanos)) {
-            UsageReport report = mSupervisor.usage().takeChanged(true);
-            if (report.workers().isEmpty()) {
-                return;
-            }
+            mForwarder.take(mSupervisor.usage(), mState).forEach(this::forward);
+        }
+    }
+
+    private void forward(InstanceId decider, UsageReport report) {
+        if (decider.equals(mOwn)) {
             mUsage.add(report);
-            mMesh.broadcast(report);
+        } else {
+            mMesh.send(decider, report);
         }
     }
 
@@ -424,7 +438,7 @@
         }
     }
 
-    private void publishRouting(boolean active) {
+    private void publishRouting() {
         mRoutingDirty = false;
         Set<EndpointId> leaving = new HashSet<>();
         if (!mLive.isEmpty()) {
@@ -433,7 +447,7 @@
                     .forEach(leaving::add);
         }
         mLeaving = leaving;
-        mParts.front().publish(RoutingView.from(mState, mOwn, leaving, active));
+        mParts.front().publish(RoutingView.from(mState, mOwn, leaving, mWindow::isOpen));
     }
 
     /** Gives back all idle slots and reports the last figures. */
