Wait for members before the configuration and for readiness after it

Cause: an instance is ready only when it holds a slot, so the quickstart waited in vain before any configuration was published. Change: it waits for membership first.

--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
@@ -53,6 +53,9 @@
     void run() throws IOException, InterruptedException {
         startAll();
         publish("first", config());
+        for (Entry entry : mEntries) {
+            waitUntilReady(entry);
+        }
         submitJobs();
         waitForWorkers();
         say("sending requests");
@@ -108,8 +111,20 @@
                 Entry.start(mFolder, mPlatform, instance, failureDomain, mDeployment.region());
         mPlatform.putEntry(instance, entry.requestPort(), failureDomain);
         mPlatform.publishList();
-        waitUntil(instance + " is ready", () -> mHttp.status(entry.adminUrl() + "/ready") == 200);
+        waitUntil(
+                instance + " is a member",
+                () ->
+                        mHttp.get(entry.adminUrl() + "/v1/members")
+                                .findValuesAsText("instance")
+                                .contains(instance));
         mEntries.add(entry);
+    }
+
+    /** An instance is ready once it holds a slot, so only after a configuration names endpoints. */
+    private void waitUntilReady(Entry entry) throws IOException, InterruptedException {
+        waitUntil(
+                entry.instance() + " is ready",
+                () -> mHttp.status(entry.adminUrl() + "/ready") == 200);
         mCallers.add(entry);
     }
 
@@ -220,6 +235,7 @@
         mPlatform.remove(victim.instance());
         say(victim.instance() + " was killed");
         startEntry("entry-4", victim.failureDomain());
+        waitUntilReady(mEntries.get(mEntries.size() - 1));
         say("entry-4 is ready");
     }
 
