Keep a lost race's version with its verdict; log suspicion and leaving endpoints

Cause: a repeated command that had lost a race came back as CommandRejected, so its exit code was 1 instead of 3; HW302 and HW603 were never written. Change: the verdict keeps the winning version; the two events are logged.

--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/ControlDuty.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/ControlDuty.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import java.util.SortedMap;
 import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
 import org.hornbeamward.codec.BatchCodec;
 import org.hornbeamward.command.ChangeSlots;
 import org.hornbeamward.command.Command;
@@ -13,6 +14,7 @@
 import org.hornbeamward.command.LeaveMember;
 import org.hornbeamward.command.RenewMember;
 import org.hornbeamward.command.ReportFigures;
+import org.hornbeamward.command.SuspectMember;
 import org.hornbeamward.command.TrustMember;
 import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.kernel.Duty;
@@ -20,6 +22,7 @@
 import org.hornbeamward.lib.InstanceId;
 import org.hornbeamward.lib.MonotonicClock;
 import org.hornbeamward.lib.WorkerId;
+import org.hornbeamward.member.MembershipMonitor;
 import org.hornbeamward.pgm.admin.ConfigHistory;
 import org.hornbeamward.route.front.RoutingView;
 import org.hornbeamward.route.slot.DemandEstimate;
@@ -350,7 +353,7 @@
         if (changed) {
             (active ? LogEvent.MEMBER_ACTIVE : LogEvent.MEMBER_INACTIVE).log();
         }
-        mIncarnation.monitor().tick(nowNanos).forEach(mIncarnation::offer);
+        mIncarnation.monitor().tick(nowNanos).forEach(this::offerMembership);
         if (mPeriods.mPing.due(nowNanos)) {
             mMesh.broadcast(
                     new PeerPing(mOwn, mIncarnation.number(), nowNanos, mState.nextOffset()));
@@ -374,6 +377,15 @@
         }
     }
 
+    private void offerMembership(Command command) {
+        if (command instanceof SuspectMember suspect) {
+            LogEvent.MEMBER_SUSPECTED.log(
+                    suspect.target(),
+                    TimeUnit.NANOSECONDS.toMillis(MembershipMonitor.SUSPICION_NANOS));
+        }
+        mIncarnation.offer(command);
+    }
+
     private void supervise(long nowNanos, boolean active) {
         mWorkerLinks.update(mSupervisor.wantedLinks());
         SupervisorOutput output = mSupervisor.tick(nowNanos, active);
@@ -446,6 +458,9 @@
                     .filter(endpoint -> !mLive.contains(endpoint))
                     .forEach(leaving::add);
         }
+        leaving.stream()
+                .filter(endpoint -> !mLeaving.contains(endpoint))
+                .forEach(endpoint -> LogEvent.ENDPOINT_LEAVING.log(endpoint));
         mLeaving = leaving;
         mParts.front().publish(RoutingView.from(mState, mOwn, leaving, mWindow::isOpen));
     }
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/PendingCommands.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/PendingCommands.java
@@ -50,9 +50,9 @@
 
     private static Either<HornbeamwardError, Long> repeated(
             String commandId, VerdictTable.Verdict first) {
-        return first.rejection().isEmpty()
-                ? Either.right(first.token())
-                : Either.left(new CommandRejected("command " + commandId, first.rejection()));
+        return first.error(commandId)
+                .<Either<HornbeamwardError, Long>>map(Either::left)
+                .orElseGet(() -> Either.right(first.token()));
     }
 
     private static HornbeamwardError rejectionOf(String commandId, CommandResult result) {
--- a/org.hornbeamward/src/org/hornbeamward/state/ClusterState.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/ClusterState.java
@@ -204,9 +204,7 @@
             return new CommandRejected("command " + commandId, "repeated; first " + verdict);
         }
         HornbeamwardError rejection = applyMemberCommand(batch, command, token);
-        mVerdicts.remember(
-                commandId,
-                new VerdictTable.Verdict(token, rejection == null ? "" : rejection.message()));
+        mVerdicts.remember(commandId, VerdictTable.Verdict.of(token, rejection));
         return rejection;
     }
 
--- a/org.hornbeamward/src/org/hornbeamward/state/StateSnapshot.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/StateSnapshot.java
@@ -237,16 +237,18 @@
         out.list(
                 verdicts.mVerdicts.entrySet(),
                 entry ->
-                        out.array(3)
+                        out.array(4)
                                 .text(entry.getKey())
                                 .integer(entry.getValue().token())
-                                .text(entry.getValue().rejection()));
+                                .text(entry.getValue().rejection())
+                                .integer(entry.getValue().wonVersion()));
     }
 
     private static void readVerdicts(Reader in, VerdictTable verdicts) {
         for (int left = in.array(); left > 0; left--) {
-            in.array(3);
-            verdicts.mVerdicts.put(in.text(), new VerdictTable.Verdict(in.integer(), in.text()));
+            in.array(4);
+            verdicts.mVerdicts.put(
+                    in.text(), new VerdictTable.Verdict(in.integer(), in.text(), in.integer()));
         }
     }
 }
