--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/LogReplay.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/LogReplay.java
@@ -5,6 +5,7 @@
 import org.hornbeamward.codec.BatchCodec;
 import org.hornbeamward.command.CommandBatch;
 import org.hornbeamward.command.PlaceTask;
+import org.hornbeamward.lib.InstanceId;
 import org.hornbeamward.state.ClusterState;
 import org.hornbeamward.state.CommandResult;
 
@@ -16,6 +17,19 @@
         return BatchCodec.decode("control@" + offset, log.record(offset)).get();
     }
 
+    /** Returns when a batch with a placement by a member other than one was put together. */
+    static long nextPlacementMillis(VirtualLog log, InstanceId except, long sinceMillis) {
+        for (int offset = 0; offset < log.size(); offset++) {
+            CommandBatch batch = batch(log, offset);
+            if (batch.authorWallMillis() > sinceMillis
+                    && !batch.author().equals(except)
+                    && batch.commands().stream().anyMatch(PlaceTask.class::isInstance)) {
+                return batch.authorWallMillis();
+            }
+        }
+        return Long.MAX_VALUE;
+    }
+
     /** Returns the recorded checkpoint of the task at each accepted placement, by token. */
     static Map<Long, Long> checkpointsAtPlacement(VirtualLog log) {
         Map<Long, Long> checkpoints = new HashMap<>();
--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/RunHistory.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/RunHistory.java
@@ -16,6 +16,7 @@
      * One run of a task.
      *
      * @param checkpoint checkpoint that it was started from
+     * @param outcome how it ended, empty while it runs
      * @param endMillis end, {@link Long#MAX_VALUE} while it runs
      */
     record Run(
@@ -23,6 +24,7 @@
             long token,
             String worker,
             long checkpoint,
+            String outcome,
             long startMillis,
             long endMillis) {}
 
@@ -38,18 +40,18 @@
                 } else if (event.kind() == Kind.ENDED) {
                     WorkerEvent start = open.remove(event.token());
                     if (start != null) {
-                        add(start, event.monotonicMillis());
+                        add(start, event.detail(), event.monotonicMillis());
                     }
                 } else if (event.kind() == Kind.LEASE_LAPSED) {
                     mLapses.add(event);
                 }
             }
-            open.values().forEach(start -> add(start, worker.mDeadMillis));
+            open.values().forEach(start -> add(start, "", worker.mDeadMillis));
         }
         mRuns.values().forEach(runs -> runs.sort((a, b) -> Long.compare(a.token, b.token)));
     }
 
-    private void add(WorkerEvent start, long endMillis) {
+    private void add(WorkerEvent start, String outcome, long endMillis) {
         mRuns.computeIfAbsent(start.task(), task -> new ArrayList<>())
                 .add(
                         new Run(
@@ -57,6 +59,7 @@
                                 start.token(),
                                 start.worker(),
                                 start.checkpoint(),
+                                outcome,
                                 start.monotonicMillis(),
                                 endMillis));
     }
--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/TotalRestart.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/TotalRestart.java
@@ -1,5 +1,6 @@
 package org.hornbeamward.bench.recovery;
 
+import java.util.List;
 import java.util.SortedMap;
 import org.hornbeamward.bench.fake.Deployment;
 
@@ -30,6 +31,7 @@
         scene.runFor(Scene.SECOND);
         scene.submitBacklog();
         scene.runFor(20 * Scene.SECOND);
+        List<VirtualWorker> workers = scene.busyWorkers();
         long deathMillis = cluster.time().nowMillis();
         cluster.log().mUp = outageNanos == 0;
         cluster.members().forEach(member -> member.mDead = true);
@@ -54,7 +56,7 @@
                                 .orElse(LIMIT_MILLIS));
         mFigures.put(
                 prefix + "lastWorkerPlacementMillis",
-                (double) scene.lastWorkerStartMillis(sinceMillis, LIMIT_MILLIS));
+                (double) Scene.lastStartMillis(workers, sinceMillis, LIMIT_MILLIS));
         mFigures.put(
                 prefix + "leaseLapseCount",
                 (double) new RunHistory(cluster).leaseLapseCount(deathMillis));
--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/VirtualMember.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/VirtualMember.java
@@ -124,7 +124,7 @@
         }
         long nowNanos = mTime.nowNanos();
         follow(nowNanos);
-        if (mJoined) {
+        if (mJoined && !mDead) {
             boolean active = mMonitor.active(nowNanos);
             mMonitor.tick(nowNanos).forEach(mAppender::offer);
             ping(nowNanos);
--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/VirtualWorker.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/VirtualWorker.java
@@ -1,6 +1,7 @@
 package org.hornbeamward.bench.recovery;
 
 import java.util.List;
+import org.hornbeamward.lib.WorkerId;
 import org.hornbeamward.standin.worker.EventRecord;
 import org.hornbeamward.standin.worker.WorkerAgent;
 import org.hornbeamward.standin.worker.WorkerIdentity;
@@ -26,6 +27,10 @@
         mTime.every(TICK_NANOS, this::tick);
     }
 
+    WorkerId id() {
+        return mIdentity.worker();
+    }
+
     void kill() {
         mAgent.tick(mTime.nowMillis());
         mDead = true;
