--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/capacity/MeasuredCluster.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/capacity/MeasuredCluster.java
@@ -193,7 +193,8 @@
                                     region(i),
                                     "rack-" + i / 60,
                                     WORKER.plus(new Resources(0, 0, accelerators)),
-                                    "10.3." + i / 200 + "." + i % 200 + ":7500")));
+                                    "10.3." + i / 200 + "." + i % 200 + ":7500",
+                                    mState.members().epoch())));
         }
     }
 
--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/capacity/SuperviseMeasure.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/capacity/SuperviseMeasure.java
@@ -155,7 +155,7 @@
                 mTickNanos += Meter.cpuNanos() - before;
                 messages.forEach(this::answer);
                 if (mTick % USAGE_TICKS == 0) {
-                    UsageReport report = mSupervisor.usage().takeChanged(true);
+                    UsageReport report = mSupervisor.usage().takeChanged(false);
                     mUsageReportBytes += size(report);
                 }
             }
