--- a/org.hornbeamward.schedule.test/tst/org/hornbeamward/schedule/decide/DeciderTest.java
+++ b/org.hornbeamward.schedule.test/tst/org/hornbeamward/schedule/decide/DeciderTest.java
@@ -129,7 +129,8 @@
                 new RegionId("r"),
                 "rack",
                 new Resources(4000, 8000, 0),
-                "");
+                "",
+                0);
     }
 
     /** Guards against starts in a failure domain that is taken out, and batch before services. */
--- a/org.hornbeamward.schedule.test/tst/org/hornbeamward/schedule/decide/TestCluster.java
+++ b/org.hornbeamward.schedule.test/tst/org/hornbeamward/schedule/decide/TestCluster.java
@@ -52,7 +52,8 @@
                             region,
                             "rack",
                             new Resources(4000, 8000, 0),
-                            ""));
+                            "",
+                            0));
         }
     }
 
