Kill a member also while the end of a task is on its way to a slow log

Change: a failure point before the append of an end, and appends that take 2 s each way in half of the tries.

--- a/org.hornbeamward.bench.test/tst/org/hornbeamward/bench/recovery/FailurePointPropertyTest.java
+++ b/org.hornbeamward.bench.test/tst/org/hornbeamward/bench/recovery/FailurePointPropertyTest.java
@@ -29,8 +29,13 @@
             @ForAll FailurePoint point,
             @ForAll @IntRange(max = 8) int skipCount,
             @ForAll boolean restarted,
+            @ForAll boolean slowLog,
             @ForAll long seed) {
         SmallCluster small = new SmallCluster(seed);
+        if (slowLog) {
+            // Heartbeats go out while the end of a task is not in the log yet.
+            small.mCluster.log().mAppendNanos = 2 * SECOND;
+        }
         small.killAt(point, skipCount);
         Random random = new Random(seed);
         for (int second = 0; second < 12 || small.mVictim == null && second < 60; second++) {
--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/FailurePoint.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/FailurePoint.java
@@ -10,6 +10,8 @@
     AFTER_START,
     /** The worker has sent a report that the supervisor has not received. */
     AFTER_REPORT,
+    /** The end of a task is on its way to the log and is lost with its author. */
+    BEFORE_END_APPEND,
     /** The end of a task is in the log and the worker has no acknowledgement. */
     BEFORE_ACKNOWLEDGEMENT
 }
--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/VirtualAppender.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/VirtualAppender.java
@@ -6,6 +6,7 @@
 import org.hornbeamward.codec.BatchCodec;
 import org.hornbeamward.command.Command;
 import org.hornbeamward.command.CommandBatch;
+import org.hornbeamward.command.EndTask;
 import org.hornbeamward.command.PlaceTask;
 import org.hornbeamward.lib.JitteredBackoff;
 import org.jspecify.annotations.Nullable;
@@ -14,9 +15,6 @@
 final class VirtualAppender {
     static final long GROUP_NANOS = 20_000_000;
 
-    /** One way between a member and the log, with the time that the log needs. */
-    static final long APPEND_NANOS = 5_000_000;
-
     private final VirtualCluster mCluster;
     private final VirtualMember mMember;
     private final JitteredBackoff mBackoff;
@@ -67,10 +65,16 @@
         if (mMember.mDead) {
             return;
         }
-        mCluster.time().after(APPEND_NANOS, () -> arrive(batch));
+        mCluster.time().after(mCluster.log().mAppendNanos, () -> arrive(batch));
     }
 
     private void arrive(CommandBatch batch) {
+        if (batch.commands().stream().anyMatch(EndTask.class::isInstance)) {
+            mCluster.reach(mMember, FailurePoint.BEFORE_END_APPEND);
+            if (mMember.mDead) {
+                return;
+            }
+        }
         if (!mCluster.log().mUp) {
             long waitNanos = mBackoff.nextWaitMillis() * 1_000_000;
             mCluster.time().after(waitNanos, () -> send(batch));
@@ -83,7 +87,7 @@
         }
         mCluster.time()
                 .after(
-                        APPEND_NANOS,
+                        mCluster.log().mAppendNanos,
                         () -> {
                             mOutstanding = null;
                             if (!mMember.mDead) {
--- a/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/VirtualLog.java
+++ b/org.hornbeamward.bench/src/org/hornbeamward/bench/recovery/VirtualLog.java
@@ -7,6 +7,10 @@
 final class VirtualLog {
     private final List<byte[]> mRecords = new ArrayList<>();
     private long mByteCount;
+
+    /** One way between a member and the log, with the time that the log needs. */
+    long mAppendNanos = 5_000_000;
+
     boolean mUp = true;
 
     void append(byte[] record) {
