--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Http.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Http.java
@@ -53,6 +53,18 @@
         }
     }
 
+    /** Returns the value of a metric without labels, 0 if it is absent. */
+    double metric(String adminUrl, String name) throws IOException, InterruptedException {
+        String text =
+                await(send(new RequestBuilder("GET").setUrl(adminUrl + "/metrics")))
+                        .getResponseBody();
+        return text.lines()
+                .filter(line -> line.startsWith(name + "_total ") || line.startsWith(name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.split(" ")[1]))
+                .findFirst()
+                .orElse(0);
+    }
+
     private static JsonNode json(Response response) throws IOException {
         if (response.getStatusCode() >= 300) {
             throw new IOException(
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
@@ -84,7 +84,9 @@
         }
     }
 
-    private void noteUse(Entry entry) {
+    private void noteUse(Entry entry) throws IOException, InterruptedException {
+        mTimeline.mLogReadBytes = mHttp.metric(entry.adminUrl(), "hornbeamward_log_read_bytes");
+        mTimeline.mLogReadRecords = mHttp.metric(entry.adminUrl(), "hornbeamward_log_read_records");
         mTimeline.mEntryResidentMib = entry.process().residentMib();
         mTimeline.mEntryCpuSeconds = entry.process().cpuSeconds();
         mTimeline.mEntryRunSeconds = (System.nanoTime() - entry.startedNanos()) / 1e9;
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Timeline.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Timeline.java
@@ -19,6 +19,8 @@
 
     double mEntryCpuSeconds;
     double mEntryRunSeconds;
+    double mLogReadBytes;
+    double mLogReadRecords;
 
     /** A planned stop of an entry instance. */
     record PlannedStop(String instance, long startedNanos, boolean ended) {}
