Expect a repeated command that lost a race to name the same version

The test expected CommandRejected for the repeat, which was the fault that the verdict's version cures; it checks the kind and the version of both answers now.

--- a/org.hornbeamward.pgm.test/tst/org/hornbeamward/pgm/entry/PendingCommandsTest.java
+++ b/org.hornbeamward.pgm.test/tst/org/hornbeamward/pgm/entry/PendingCommandsTest.java
@@ -12,7 +12,6 @@
 import org.hornbeamward.command.CommandBatch;
 import org.hornbeamward.command.JoinMember;
 import org.hornbeamward.command.PublishConfig;
-import org.hornbeamward.errors.CommandRejected;
 import org.hornbeamward.errors.HornbeamwardError;
 import org.hornbeamward.errors.RequestOutcomeUnknown;
 import org.hornbeamward.errors.VersionConflict;
@@ -37,8 +36,10 @@
         Either<HornbeamwardError, Long> first = run("c1");
         assertEquals(mState.config().version(), first.get());
         assertEquals(first, run("c1"));
-        assertInstanceOf(VersionConflict.class, run("c2").getLeft());
-        assertInstanceOf(CommandRejected.class, run("c2").getLeft());
+        VersionConflict lost = assertInstanceOf(VersionConflict.class, run("c2").getLeft());
+        VersionConflict repeated = assertInstanceOf(VersionConflict.class, run("c2").getLeft());
+        assertEquals(first.get(), lost.currentVersion());
+        assertEquals(lost.currentVersion(), repeated.currentVersion());
         assertEquals(first.get(), mState.config().version());
     }
 
