Collect supervisors' commands for 200 ms; give the decider work while a domain is out

Change: commands of the supervisor are appended every 200 ms; the quickstart submits ten jobs four seconds after the take-out.

--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/ControlDuty.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/ControlDuty.java
@@ -1,5 +1,6 @@
 package org.hornbeamward.pgm.entry;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -73,6 +74,7 @@
     private boolean mWasActive;
 
     private ClusterState mState = new ClusterState();
+    private final List<Command> mWorkerCommands = new ArrayList<>();
     private Incarnation mIncarnation;
     private Set<EndpointId> mLeaving = new HashSet<>();
     private Set<EndpointId> mLive = Set.of();
@@ -253,6 +255,7 @@
 
     private void rejoin(long nowNanos) {
         mParts.slotUse().lose();
+        mWorkerCommands.clear();
         mIncarnation = mParts.appenders().begin(mParts.place());
         mIncarnation.monitor().onMembers(mState.members(), nowNanos);
         mDemand.startFrom(SlotPlanner.meanDemand(mState));
@@ -391,7 +394,11 @@
         SupervisorOutput output = mSupervisor.tick(nowNanos, active);
         output.messages()
                 .forEach(message -> mWorkerLinks.send(message.worker(), message.message()));
-        output.commands().forEach(mIncarnation::offer);
+        mWorkerCommands.addAll(output.commands());
+        if (mPeriods.mWorkerCommands.due(nowNanos)) {
+            mWorkerCommands.forEach(mIncarnation::offer);
+            mWorkerCommands.clear();
+        }
         if (mPeriods.mUsage.due(nowNanos)) {
             mForwarder.take(mSupervisor.usage(), mState).forEach(this::forward);
         }
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
@@ -64,7 +64,10 @@
         Thread.sleep(6_000);
         takeDomainOut();
         leaveEndpoint();
-        Thread.sleep(10_000);
+        Thread.sleep(4_000);
+        // Gives the decider work while the failure domain is out.
+        submit("late", BATCH_JOB_COUNT / 2);
+        Thread.sleep(6_000);
         bringDomainBack();
         Thread.sleep(2_000);
         killOneAndStartAnother();
@@ -168,12 +171,18 @@
     }
 
     private void submitJobs() throws IOException {
+        ObjectNode document = Http.JSON.createObjectNode();
+        document.putArray("jobs").addAll((ArrayNode) mDeployment.jobs());
+        submit("generated", document);
+        submit("early", BATCH_JOB_COUNT);
+    }
+
+    private void submit(String name, int jobCount) throws IOException {
         ObjectNode document = Http.JSON.createObjectNode();
         ArrayNode jobs = document.putArray("jobs");
-        mDeployment.jobs().forEach(jobs::add);
-        for (int job = 0; job < BATCH_JOB_COUNT; job++) {
+        for (int job = 0; job < jobCount; job++) {
             ObjectNode spec = jobs.addObject();
-            spec.put("id", "quick-" + job).put("team", mDeployment.batchTeam());
+            spec.put("id", name + "-" + job).put("team", mDeployment.batchTeam());
             spec.put("className", "quick").put("kind", "BATCH");
             spec.put("taskCount", TASKS_PER_JOB);
             ObjectNode size = spec.putObject("resources");
@@ -181,10 +190,14 @@
             spec.put("urgent", job % 5 == 0).put("checkpointable", true);
             spec.put("expectedRunMillis", BATCH_RUN_MILLIS).put("agreedPeriodMillis", 0);
         }
-        Path file = mFolder.resolve("jobs.json");
+        submit(name, document);
+    }
+
+    private void submit(String name, ObjectNode document) throws IOException {
+        Path file = mFolder.resolve("jobs-" + name + ".json");
         Files.writeString(file, document.toPrettyString());
         expect(mOperator.run("job", "submit", file.toString()), 0);
-        say("jobs are submitted");
+        say("jobs are submitted: " + name);
     }
 
     private void waitForWorkers() throws IOException, InterruptedException {
