--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/ControlDuty.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/ControlDuty.java
@@ -193,7 +193,6 @@
                             LogEvent.RECORD_SKIPPED.log(error.message());
                             mState.skip(read.offset());
                         });
-        mSnapshots.onApplied(mState, mOwn);
     }
 
     private void apply(long offset, CommandBatch batch, long nowNanos) {
@@ -375,6 +374,7 @@
             mParts.answers().expire();
         }
         renew(nowNanos);
+        mSnapshots.update(mState, mOwn);
         if (mPeriods.mFigures.due(nowNanos)) {
             reportFigures();
         }
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/EntryProcess.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/EntryProcess.java
@@ -45,7 +45,6 @@
     static final int LOG_READ_INTERVAL_MILLIS = 100;
 
     private static final long MAX_ANSWER_BYTES = 16L * 1024 * 1024;
-    private static final long SNAPSHOT_INTERVAL_RECORDS = 5_000;
     private static final long STOP_STEP_MILLIS = 3_000;
     private static final long STOP_POLL_MILLIS = 20;
 
@@ -83,7 +82,8 @@
         Front front = new Front(frontConfig, mSlotUse, claims, mLatency);
         Runnable reload = () -> mLoadWanted.set(true);
         RequestsFollower requests = new RequestsFollower(mLog, claims, mClock, reload);
-        SnapshotStep snapshots = new SnapshotStep(mLog, requests, SNAPSHOT_INTERVAL_RECORDS);
+        SnapshotStep snapshots =
+                new SnapshotStep(mLog, requests, settings.snapshotIntervalRecordCount());
         mPeerServer =
                 new LinkServer(
                         mLoops,
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/SnapshotStep.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/SnapshotStep.java
@@ -16,8 +16,8 @@
 import org.hornbeamward.storage.snapshot.SnapshotPublisher;
 
 /**
- * Publishes snapshots. The control duty encodes the state at fixed offsets, on the one member that
- * the rendezvous hash names; this duty's thread writes the bytes to the log.
+ * Publishes snapshots. The control duty encodes the state on the one member that the rendezvous
+ * hash names; this duty's thread writes the bytes to the log.
  */
 final class SnapshotStep implements Duty {
     static final String SNAPSHOT_STREAM = "snapshots";
@@ -28,6 +28,8 @@
     private final RequestsFollower mRequests;
     private final long mIntervalRecordCount;
     private final AtomicReference<Encoded> mNext = new AtomicReference<>();
+    private long mControlMark;
+    private long mRequestsMark;
 
     private record Encoded(
             long controlOffset, long requestsOffset, byte[] bytes, long stateDigest) {}
@@ -38,16 +40,27 @@
         mIntervalRecordCount = intervalRecordCount;
     }
 
-    /** Encodes the state if a snapshot is due at this offset. Called by the control duty. */
-    void onApplied(ClusterState state, InstanceId own) {
-        if (state.nextOffset() % mIntervalRecordCount != 0) {
+    /**
+     * Encodes the state if a snapshot is due: whenever either stream has passed a multiple of the
+     * interval, so that a busy requests stream alone cannot run ahead of the last snapshot. Called
+     * by the control duty.
+     */
+    void update(ClusterState state, InstanceId own) {
+        long controlMark = state.nextOffset() / mIntervalRecordCount;
+        long requestsMark = mRequests.nextOffset() / mIntervalRecordCount;
+        if (controlMark == mControlMark && requestsMark == mRequestsMark) {
             return;
         }
+        mControlMark = controlMark;
+        mRequestsMark = requestsMark;
         Optional<InstanceId> writer =
                 RendezvousHash.pick("snapshot", state.members().all().keySet());
-        if (!writer.equals(Optional.of(own))) {
-            return;
+        if (writer.equals(Optional.of(own))) {
+            encode(state);
         }
+    }
+
+    private void encode(ClusterState state) {
         // The offset is read first: applying a claim record twice has no effect.
         long requestsOffset = mRequests.nextOffset();
         byte[] control = StateSnapshot.encode(state);
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/settings/EntrySettings.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/settings/EntrySettings.java
@@ -25,6 +25,7 @@
  * @param logLevel least severe level that is written
  * @param shutdownWaitMillis wait between reporting not ready and closing the front
  * @param frontThreadCount event loop threads of the front
+ * @param snapshotIntervalRecordCount records of a stream between two snapshots
  */
 public record EntrySettings(
         InstanceId instance,
@@ -38,7 +39,8 @@
         SortedMap<WorkerId, HostPort> workers,
         Level logLevel,
         long shutdownWaitMillis,
-        int frontThreadCount) {
+        int frontThreadCount,
+        long snapshotIntervalRecordCount) {
 
     /** Copies the map of workers. */
     public EntrySettings {
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/settings/SettingsLoader.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/settings/SettingsLoader.java
@@ -35,7 +35,8 @@
                     "workers",
                     "logLevel",
                     "shutdownWaitMillis",
-                    "frontThreadCount");
+                    "frontThreadCount",
+                    "snapshotIntervalRecordCount");
 
     /** Used if {@code shutdownWaitMillis} is absent. */
     public static final long DEFAULT_SHUTDOWN_WAIT_MILLIS = 2000;
@@ -43,6 +44,11 @@
     /** Used if {@code frontThreadCount} is absent. */
     public static final int DEFAULT_FRONT_THREAD_COUNT = 2;
 
+    /** Used if {@code snapshotIntervalRecordCount} is absent. */
+    public static final long DEFAULT_SNAPSHOT_INTERVAL_RECORD_COUNT = 20_000;
+
+    private static final long MIN_SNAPSHOT_INTERVAL = 10;
+    private static final long MAX_SNAPSHOT_INTERVAL = 10_000_000;
     private static final long MAX_SHUTDOWN_WAIT_MILLIS = 600_000;
     private static final int MAX_FRONT_THREADS = 64;
     private static final int MAX_PORT = 65_535;
@@ -94,6 +100,12 @@
         long threadCount =
                 reader.integer(
                         "frontThreadCount", 1, MAX_FRONT_THREADS, DEFAULT_FRONT_THREAD_COUNT);
+        long snapshotInterval =
+                reader.integer(
+                        "snapshotIntervalRecordCount",
+                        MIN_SNAPSHOT_INTERVAL,
+                        MAX_SNAPSHOT_INTERVAL,
+                        DEFAULT_SNAPSHOT_INTERVAL_RECORD_COUNT);
         return reader.finish(
                 () ->
                         new EntrySettings(
@@ -108,7 +120,8 @@
                                 workers,
                                 logLevel.orElseThrow(),
                                 shutdownWaitMillis,
-                                (int) threadCount));
+                                (int) threadCount,
+                                snapshotInterval));
     }
 
     private static SortedMap<WorkerId, HostPort> workers(FieldReader reader) {
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Entry.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Entry.java
@@ -52,6 +52,7 @@
         settings.put("logUrl", platform.logUrl());
         settings.put("listUrl", platform.listUrl());
         settings.put("shutdownWaitMillis", 1_000);
+        settings.put("snapshotIntervalRecordCount", 50);
         Path file = folder.resolve(instance + ".json");
         Files.writeString(file, settings.toPrettyString());
         ChildProcess process =
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
@@ -243,6 +243,8 @@
     }
 
     private void killOneAndStartAnother() throws IOException, InterruptedException {
+        // The new instance can start only from a snapshot.
+        mPlatform.logFaults("{\"retainCount\":200}");
         Entry victim = mEntries.get(1);
         victim.process().kill();
         mCallers.remove(victim);
