--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/Bootstrap.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/Bootstrap.java
@@ -97,9 +97,6 @@
                         .setEarliestOffsets(earliestControl, earliestRequests)
                         .call();
         if (snapshot.isRight()) {
-            snapshot.get()
-                    .ignored()
-                    .forEach(problem -> LogEvent.SNAPSHOT_IGNORED.log(problem.message()));
             return decode(snapshot.get());
         }
         if (earliestControl == 0 && earliestRequests == 0) {
@@ -129,7 +126,6 @@
             return Either.left(new SnapshotCorrupt(id, String.valueOf(e.getMessage())));
         }
         Either<HornbeamwardError, ClusterState> state = StateSnapshot.decode(id, control);
-        LogEvent.SNAPSHOT_LOADED.log(id, snapshot.manifest().controlOffset());
         return state.flatMap(
                 decoded ->
                         ClaimTable.decode(claims)
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/RequestsFollower.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/RequestsFollower.java
@@ -75,7 +75,10 @@
     private Either<RingFull, Void> take(FollowEvent event) {
         switch (event) {
             case FollowEvent.RecordRead read -> apply(read);
-            case FollowEvent.RetentionPassed passed -> mReload.run();
+            case FollowEvent.RetentionPassed passed -> {
+                LogEvent.LOG_UNAVAILABLE.log(passed.error().message());
+                mReload.run();
+            }
             case FollowEvent.ReachedEnd end -> {}
             case FollowEvent.ReadFailed failed -> {}
         }
--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/SnapshotStep.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/SnapshotStep.java
@@ -93,10 +93,6 @@
                 .setOffsets(snapshot.controlOffset(), snapshot.requestsOffset())
                 .setState(snapshot.bytes(), snapshot.stateDigest())
                 .call()
-                .peek(
-                        manifest ->
-                                LogEvent.SNAPSHOT_PUBLISHED.log(
-                                        id, snapshot.controlOffset(), snapshot.bytes().length))
                 .peekLeft(error -> LogEvent.LOG_UNAVAILABLE.log(error.message()));
     }
 }
