Take the choice of supervised workers out of the supervisor; measure control work alone

Change: SupervisedWorkers computes the wanted links; one method sends advice; the quickstart reports the processor share of an entry instance before requests start. Core and schedule tests pass (mvn -o verify -pl org.hornbeamward.schedule.test -am).

--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/QuickstartMain.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/QuickstartMain.java
@@ -91,6 +91,7 @@
         figures.put("entryResidentMib", timeline.mEntryResidentMib);
         figures.put("entryCpuSeconds", timeline.mEntryCpuSeconds);
         figures.put("entryRunSeconds", timeline.mEntryRunSeconds);
+        figures.put("entryControlCpuPercent", timeline.mEntryControlCpuPercent);
         figures.put("entryLogReadBytes", timeline.mLogReadBytes);
         figures.put("entryLogReadRecords", timeline.mLogReadRecords);
         if (mJson) {
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
@@ -58,6 +58,7 @@
         }
         submitJobs();
         waitForWorkers();
+        measureControl(mEntries.get(0));
         say("sending requests");
         mPlatform.endpointFaults("{\"lateFraction\":0.02,\"lateMillis\":300}");
         mCallers.start();
@@ -87,6 +88,15 @@
         }
     }
 
+    private void measureControl(Entry entry) throws InterruptedException {
+        say("measuring the control work of " + entry.instance() + " for 10 s");
+        Thread.sleep(2_000);
+        double beforeSeconds = entry.process().cpuSeconds();
+        Thread.sleep(8_000);
+        double usedSeconds = entry.process().cpuSeconds() - beforeSeconds;
+        mTimeline.mEntryControlCpuPercent = usedSeconds / 8.0 * 100.0;
+    }
+
     private void noteUse(Entry entry) throws IOException, InterruptedException {
         mTimeline.mLogReadBytes = mHttp.metric(entry.adminUrl(), "hornbeamward_log_read_bytes");
         mTimeline.mLogReadRecords = mHttp.metric(entry.adminUrl(), "hornbeamward_log_read_records");
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Timeline.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Timeline.java
@@ -19,6 +19,10 @@
 
     double mEntryCpuSeconds;
     double mEntryRunSeconds;
+
+    /** Share of one core used by the same instance before any request was sent. */
+    double mEntryControlCpuPercent;
+
     double mLogReadBytes;
     double mLogReadRecords;
 
--- a/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/WorkerSupervisor.java
+++ b/org.hornbeamward.schedule/src/org/hornbeamward/schedule/worker/WorkerSupervisor.java
@@ -18,7 +18,6 @@
 import org.hornbeamward.lib.InstanceId;
 import org.hornbeamward.lib.TaskId;
 import org.hornbeamward.lib.WorkerId;
-import org.hornbeamward.member.Roles;
 import org.hornbeamward.state.ClusterState;
 import org.hornbeamward.state.CommandResult;
 import org.hornbeamward.state.Member;
@@ -245,10 +244,7 @@
      * @param levelPercent share of the declared processors, 1 to 100
      */
     public void throttle(WorkerId worker, long token, int levelPercent) {
-        WorkerSession session = mSessions.get(worker);
-        if (session != null && session.mRunning.containsKey(token)) {
-            mView.send(worker, new ThrottleTask(mView.epoch(), token, levelPercent));
-        }
+        sendAbout(worker, token, new ThrottleTask(mView.epoch(), token, levelPercent));
     }
 
     /**
@@ -259,9 +255,13 @@
      * @param token token of the task's placement
      */
     public void requestCheckpoint(WorkerId worker, long token) {
+        sendAbout(worker, token, new CheckpointTask(mView.epoch(), token));
+    }
+
+    private void sendAbout(WorkerId worker, long token, WorkerMessage message) {
         WorkerSession session = mSessions.get(worker);
         if (session != null && session.mRunning.containsKey(token)) {
-            mView.send(worker, new CheckpointTask(mView.epoch(), token));
+            mView.send(worker, message);
         }
     }
 
@@ -321,25 +321,7 @@
 
     private void updateRoles(long nowNanos) {
         mRolesDirty = false;
-        SortedMap<WorkerId, String> wanted = new TreeMap<>();
-        var members = mView.mState.members().all().values();
-        var workers = mView.mState.work().workers();
-        workers.forEach(
-                (id, worker) -> {
-                    if (Roles.supervisorOf(worker.registration(), members)
-                            .filter(mOwn::equals)
-                            .isPresent()) {
-                        String address = worker.registration().address();
-                        wanted.put(id, mAddresses.getOrDefault(id, address));
-                    }
-                });
-        mAddresses.forEach(
-                (id, address) -> {
-                    if (!workers.containsKey(id)
-                            && Roles.finderOf(id, members).filter(mOwn::equals).isPresent()) {
-                        wanted.put(id, address);
-                    }
-                });
+        SortedMap<WorkerId, String> wanted = SupervisedWorkers.of(mOwn, mView.mState, mAddresses);
         mSessions.keySet().removeIf(id -> !wanted.containsKey(id));
         mUsage.retainWorkers(wanted.keySet());
         wanted.forEach(
