Put a fault-injecting proxy between the entry processes and the log in the quickstart

Cause: the run on real processes lost answers only inside the log stand-in. Change: the proxy discards answers for 2 s and then cuts all connections.

--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Platform.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Platform.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -12,6 +13,7 @@
 import org.hornbeamward.standin.endpoint.EndpointMain;
 import org.hornbeamward.standin.list.ListMain;
 import org.hornbeamward.standin.log.LogMain;
+import org.hornbeamward.standin.proxy.ProxyMain;
 import org.hornbeamward.standin.worker.WorkerMain;
 
 /** The stand-ins of the platform and of the endpoints, each kind in a process of its own. */
@@ -22,6 +24,8 @@
     private final SortedMap<String, Integer> mEndpoints = new TreeMap<>();
     private final SortedMap<String, ObjectNode> mListed = new TreeMap<>();
     private int mLogPort;
+    private int mProxyPort;
+    private int mProxyControlPort;
     private int mListPort;
     private int mWorkerControlPort;
     private int mEndpointControlPort;
@@ -61,6 +65,7 @@
         ChildProcess endpoints =
                 start(folder, "standin-endpoint", EndpointMain.class, endpointArguments);
         mLogPort = lastNumber(log.readUntil("listening"));
+        startProxy(folder);
         mListPort = lastNumber(list.readUntil("listening"));
         mWorkerControlPort = readPorts(workers.readUntil("control"), mWorkers);
         mEndpointControlPort = readPorts(endpoints.readUntil("control"), mEndpoints);
@@ -68,6 +73,28 @@
         mEndpoints.forEach((name, port) -> put(name, "endpoint", port, domains.get(0)));
     }
 
+    /** Entry instances reach the log through a proxy that can lose its answers. */
+    private void startProxy(Path folder) throws IOException {
+        mProxyControlPort = freePort();
+        ChildProcess proxy =
+                start(
+                        folder,
+                        "standin-proxy",
+                        ProxyMain.class,
+                        List.of(
+                                "--control-port",
+                                String.valueOf(mProxyControlPort),
+                                "--target-port",
+                                String.valueOf(mLogPort)));
+        mProxyPort = lastNumber(proxy.readUntil("listening"));
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
     private ChildProcess start(Path folder, String name, Class<?> main, List<String> arguments)
             throws IOException {
         ChildProcess process =
@@ -119,7 +146,7 @@
     }
 
     String logUrl() {
-        return "http://127.0.0.1:" + mLogPort;
+        return "http://127.0.0.1:" + mProxyPort;
     }
 
     String listUrl() {
@@ -131,7 +158,11 @@
     }
 
     void logFaults(String json) throws IOException, InterruptedException {
-        mHttp.post(logUrl() + "/faults", json);
+        mHttp.post("http://127.0.0.1:" + mLogPort + "/faults", json);
+    }
+
+    void proxyFaults(String json) throws IOException, InterruptedException {
+        mHttp.post("http://127.0.0.1:" + mProxyControlPort + "/faults", json);
     }
 
     void workerFaults(String json) throws IOException, InterruptedException {
--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
@@ -75,6 +75,7 @@
         Thread.sleep(6_000);
         stopLog();
         mPlatform.endpointFaults("{\"closeFraction\":0.02}");
+        loseAnswers();
         Thread.sleep(4_000);
         republish();
         mPlatform.workerFaults("{\"worker\":\"w3\",\"restart\":true}");
@@ -274,6 +275,13 @@
         say("the log is up and loses five answers");
     }
 
+    private void loseAnswers() throws IOException, InterruptedException {
+        say("the proxy before the log discards answers for 2 s, then cuts all connections");
+        mPlatform.proxyFaults("{\"dropAnswers\":true}");
+        Thread.sleep(2_000);
+        mPlatform.proxyFaults("{\"dropAnswers\":false,\"cut\":true}");
+    }
+
     private void republish() throws IOException, InterruptedException {
         ObjectNode document = config();
         ObjectNode team = (ObjectNode) document.path("team/" + mDeployment.batchTeam());
