Tick the front's timer every 10 ms; end every started process of the quickstart

Change: the timer ticks every 10 ms; the quickstart ends what it started also when a start fails. Route tests pass.

--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Scenario.java
@@ -27,6 +27,7 @@
     private final Callers mCallers;
     private final Timeline mTimeline = new Timeline();
     private final List<Entry> mEntries = new ArrayList<>();
+    private final List<Entry> mStarted = new ArrayList<>();
     private final Operator mOperator = new Operator(mEntries);
 
     Scenario(Path folder, Deployment deployment, long seed, Http http) {
@@ -125,6 +126,7 @@
             throws IOException, InterruptedException {
         Entry entry =
                 Entry.start(mFolder, mPlatform, instance, failureDomain, mDeployment.region());
+        mStarted.add(entry);
         mPlatform.putEntry(instance, entry.requestPort(), failureDomain);
         mPlatform.publishList();
         waitUntil(
@@ -325,7 +327,7 @@
 
     void close() throws InterruptedException {
         mCallers.close();
-        mEntries.forEach(entry -> entry.process().kill());
+        mStarted.forEach(entry -> entry.process().kill());
         mPlatform.stop();
     }
 }
--- a/org.hornbeamward.route/src/org/hornbeamward/route/front/Front.java
+++ b/org.hornbeamward.route/src/org/hornbeamward/route/front/Front.java
@@ -43,7 +43,9 @@
     private final EndpointClient mClient;
     private final Timer mTimer =
             new HashedWheelTimer(
-                    new DefaultThreadFactory("front-timer", true), 2, TimeUnit.MILLISECONDS);
+                    new DefaultThreadFactory("front-timer", true),
+                    TICK_MILLIS,
+                    TimeUnit.MILLISECONDS);
     private final RandomGenerator mRandom = new Random();
     private final Map<String, ServiceLane> mLanes = new ConcurrentHashMap<>();
     private volatile RoutingView mView = RoutingView.NONE;
