--- a/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Platform.java
+++ b/org.hornbeamward.quickstart.test/src/org/hornbeamward/quickstart/Platform.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -75,24 +74,15 @@
 
     /** Entry instances reach the log through a proxy that can lose its answers. */
     private void startProxy(Path folder) throws IOException {
-        mProxyControlPort = freePort();
         ChildProcess proxy =
                 start(
                         folder,
                         "standin-proxy",
                         ProxyMain.class,
-                        List.of(
-                                "--control-port",
-                                String.valueOf(mProxyControlPort),
-                                "--target-port",
-                                String.valueOf(mLogPort)));
-        mProxyPort = lastNumber(proxy.readUntil("listening"));
-    }
-
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
+                        List.of("--target-port", String.valueOf(mLogPort)));
+        List<String> lines = proxy.readUntil("control");
+        mProxyPort = lastNumber(lines.subList(0, lines.size() - 1));
+        mProxyControlPort = lastNumber(lines);
     }
 
     private ChildProcess start(Path folder, String name, Class<?> main, List<String> arguments)
--- a/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyMain.java
+++ b/org.hornbeamward.standin.test/src/org/hornbeamward/standin/proxy/ProxyMain.java
@@ -15,7 +15,10 @@
     @Option(names = "--port", defaultValue = "0", description = "Port, 0 for any free one.")
     private int mPort;
 
-    @Option(names = "--control-port", required = true, description = "Port of POST /faults.")
+    @Option(
+            names = "--control-port",
+            defaultValue = "0",
+            description = "Port of POST /faults, 0 for any free one.")
     private int mControlPort;
 
     @Option(names = "--target-host", defaultValue = "127.0.0.1", description = "Target host.")
@@ -41,6 +44,7 @@
         InetSocketAddress target = new InetSocketAddress(mTargetHost, mTargetPort);
         try (ProxyStandIn standIn = new ProxyStandIn(mPort, mControlPort, target)) {
             System.out.println("listening " + standIn.port());
+            System.out.println("control " + standIn.controlPort());
             Thread.currentThread().join();
         }
         return 0;
