Drop lists of lost tasks that nobody read

Cause: register and lose filled a list that every caller threw away, Incarnation.offer mapped an error it did not use, and a comment of endTask named a return value that does not exist. Change: the parameters, the call and the comment are gone; behaviour is the same.

--- a/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/Incarnation.java
+++ b/org.hornbeamward.pgm/src/org/hornbeamward/pgm/entry/Incarnation.java
@@ -6,7 +6,6 @@
 import org.hornbeamward.command.Command;
 import org.hornbeamward.command.CommandBatch;
 import org.hornbeamward.command.JoinMember;
-import org.hornbeamward.errors.RingFull;
 import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.lib.InstanceId;
 import org.hornbeamward.lib.JitteredBackoff;
@@ -74,7 +73,7 @@
 
     /** Queues a command; tells whether there was room. */
     boolean offer(Command command) {
-        return mAppender.offer(command).peekLeft(RingFull::message).isRight();
+        return mAppender.offer(command).isRight();
     }
 
     /** Notes whether the state shows this incarnation; true if it was a member and no longer is. */
--- a/org.hornbeamward/src/org/hornbeamward/state/ClusterState.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/ClusterState.java
@@ -371,14 +371,14 @@
         if (!maySupervise(author, register.worker(), register.membershipEpoch())) {
             return notSupervisor(author, register.worker());
         }
-        return mWork.register(register, new ArrayList<>());
+        return mWork.register(register);
     }
 
     private @Nullable HornbeamwardError loseWorker(InstanceId author, LoseWorker lose) {
         if (!maySupervise(author, lose.worker(), lose.membershipEpoch())) {
             return notSupervisor(author, lose.worker());
         }
-        return mWork.lose(lose.worker(), lose.incarnation(), new ArrayList<>());
+        return mWork.lose(lose.worker(), lose.incarnation());
     }
 
     /**
--- a/org.hornbeamward/src/org/hornbeamward/state/WorkTable.java
+++ b/org.hornbeamward/src/org/hornbeamward/state/WorkTable.java
@@ -254,7 +254,7 @@
         return null;
     }
 
-    /** Ends a placement; returns the reason of the stop if the task was evicted. */
+    /** Ends a placement; the task is pending again or has ended, by the outcome. */
     @Nullable HornbeamwardError endTask(EndTask endTask) {
         TaskStatus task = task(endTask.task()).orElse(null);
         if (task == null || tokenOf(task) != endTask.token()) {
@@ -279,24 +279,24 @@
         return null;
     }
 
-    @Nullable HornbeamwardError register(RegisterWorker registration, List<TaskId> lost) {
+    @Nullable HornbeamwardError register(RegisterWorker registration) {
         WorkerStatus known = mWorkers.get(registration.worker());
         if (known != null) {
             if (known.mRegistration.incarnation() == registration.incarnation()) {
                 return rejected(registration.worker(), "this incarnation is registered already");
             }
-            loseTasks(known, lost);
+            loseTasks(known);
         }
         mWorkers.put(registration.worker(), new WorkerStatus(registration));
         return null;
     }
 
-    @Nullable HornbeamwardError lose(WorkerId id, long incarnation, List<TaskId> lost) {
+    @Nullable HornbeamwardError lose(WorkerId id, long incarnation) {
         WorkerStatus worker = mWorkers.get(id);
         if (worker == null || worker.mRegistration.incarnation() != incarnation) {
             return rejected(id, "that incarnation of the worker is not registered");
         }
-        loseTasks(worker, lost);
+        loseTasks(worker);
         mWorkers.remove(id);
         return null;
     }
@@ -315,12 +315,11 @@
         return jobOf(task).mSpec;
     }
 
-    private void loseTasks(WorkerStatus worker, List<TaskId> lost) {
+    private void loseTasks(WorkerStatus worker) {
         for (TaskId id : List.copyOf(worker.mTasks.keySet())) {
             TaskStatus task = task(id).orElseThrow();
             release(task, worker);
             requeue(jobOf(id), task);
-            lost.add(id);
         }
     }
 
