--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
@@ -321,4 +321,19 @@
         assertEquals(6, mScene.startedCount());
         assertEquals(2, mScene.runningCount());
     }
+
+    /**
+     * Guards against a leader that is deposed before it has written anything: on imbaraga-loans
+     * trouble-2, with a slow store, five leaders in turn told followers that the store had never
+     * confirmed them, and nothing was decided for 6 s.
+     */
+    @Test
+    void anElectedLeaderCountsAsConfirmed() {
+        mScene.mLoop.advance(60_000);
+        mScene.mStore.down = true;
+        Dispatcher leader = mScene.lead(1);
+        mScene.mLoop.advance(500);
+        assertTrue(leader.unconfirmedMillis() <= 500);
+        assertFalse(leader.mayOrder());
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/FencedWriter.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/FencedWriter.java
@@ -73,6 +73,9 @@
         mProducer = producer;
         mEpoch = epoch;
         mListener = listener;
+        // The election that gave the epoch has just confirmed it.
+        mConfirmedSteadyMillis = loop.nowMillis();
+        mConfirmedWallMillis = loop.wallMillis();
     }
 
     /** Stops; no callback runs afterwards. */
