--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -25,7 +25,6 @@
 import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.lib.FailureDomainId;
 import org.hornbeamward.lib.JobId;
-import org.hornbeamward.lib.WorkerId;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -63,16 +62,9 @@
     /** Wait of the store's reads of jobs, so that the age of what is known stays bounded. */
     private static final long JOBS_WAIT_MILLIS = 1_000;
 
-    /** Pause between two reads of the workers' entries; each worker writes every 1.5 s. */
-    private static final long WORKERS_PAUSE_MILLIS = 400;
-
-    /** Time after an entry vanished until the worker is taken as gone; a page's bound. */
-    private static final long UNLISTED_MILLIS = 2_000;
-
     private final Loop mLoop;
     private final Store mStore;
     private final WorkerControl mControl;
-    private final Documents mDocuments;
     private final StatusListener mStatus;
     private final DispatchLimits mLimits;
     private final NodeMetrics mMetrics;
@@ -81,10 +73,8 @@
     private final FencedWriter mWriter;
     private final TopicFollower mJobsFollower;
     private final TopicFollower mProgressFollower;
-    private final TopicFollower mWorkersFollower;
     private final JobTable mJobs = new JobTable();
-    private final Map<WorkerId, WorkerSession> mWorkers = new LinkedHashMap<>();
-    private final Map<WorkerId, Loop.Timer> mUnlisted = new HashMap<>();
+    private final WorkerRegistry mWorkers;
     private final List<Run> mDecided = new ArrayList<>();
     private final OrderQueue mOrders = new OrderQueue();
     private final Scheduler mScheduler;
@@ -122,7 +112,6 @@
         mLoop = loop;
         mStore = store;
         mControl = control;
-        mDocuments = documents;
         mStatus = status;
         mLimits = limits;
         mMetrics = metrics;
@@ -134,14 +123,8 @@
         mProgressFollower =
                 new TopicFollower(
                         loop, store, Topic.PROGRESS, JOBS_WAIT_MILLIS, 0, new ProgressListener());
-        mWorkersFollower =
-                new TopicFollower(
-                        loop,
-                        store,
-                        Topic.WORKERS,
-                        JOBS_WAIT_MILLIS,
-                        WORKERS_PAUSE_MILLIS,
-                        new WorkersListener());
+        mWorkers =
+                new WorkerRegistry(loop, store, documents, this::newSession, new WorkersListener());
         mSharing = new Sharing(loop);
         mScheduler = new Scheduler(mJobs, mSharing);
     }
@@ -153,7 +136,7 @@
                 () -> {
                     mProgressFollower.start();
                     mJobsFollower.start();
-                    mWorkersFollower.start();
+                    mWorkers.start();
                 });
     }
 
@@ -163,9 +146,7 @@
         mWriter.close();
         mJobsFollower.stop();
         mProgressFollower.stop();
-        mWorkersFollower.stop();
-        mWorkers.values().forEach(WorkerSession::close);
-        mUnlisted.values().forEach(Loop.Timer::cancel);
+        mWorkers.close();
     }
 
     /**
@@ -216,7 +197,7 @@
                         + mJobs.all().size()
                         + " active="
                         + mJobs.active().size());
-        mWorkers.values().forEach(worker -> lines.add(worker.describe()));
+        mWorkers.all().forEach(worker -> lines.add(worker.describe()));
         return lines;
     }
 
@@ -259,7 +240,7 @@
         if (mReady
                 || !mJobsFollower.isLoaded()
                 || !mProgressFollower.isLoaded()
-                || !mWorkersFollower.isLoaded()) {
+                || !mWorkers.isLoaded()) {
             return;
         }
         mReady = true;
@@ -281,7 +262,7 @@
         }
         mStatus.complete();
         LogEvent.LEADER_READY.log(mEpoch, mJobs.all().size(), inherited, mWorkers.size());
-        mWorkers.values().forEach(WorkerSession::look);
+        mWorkers.all().forEach(WorkerSession::look);
         tick();
     }
 
@@ -332,7 +313,7 @@
             return false;
         }
         if (worker == null) {
-            worker = unlistedSession(live);
+            worker = mWorkers.addUnlisted(live.worker(), live.bornWallMillis());
         }
         Run run = new Run(live.task(), live.attempt(), worker, "");
         run.state = Run.State.INHERITED;
@@ -340,14 +321,6 @@
         return true;
     }
 
-    /** Creates the session of a worker that no entry describes. */
-    private WorkerSession unlistedSession(ProgressCodec.LiveRun live) {
-        WorkerEntry entry = WorkerEntry.unlisted(live.worker(), live.bornWallMillis());
-        WorkerSession worker = newSession(entry);
-        worker.listed = false;
-        return worker;
-    }
-
     private void attach(Run run) {
         run.task.run = run;
         run.task.lastAttempt = Math.max(run.task.lastAttempt, run.attempt);
@@ -367,10 +340,8 @@
 
     private WorkerSession newSession(WorkerEntry entry) {
         WorkerSession worker = new WorkerSession(mLoop, mControl, this, entry);
-        worker.listed = true;
         worker.inheritLeases(
                 mLoop.nowMillis() + AUTHORITY_MILLIS + mLimits.leaseMillis() * 11 / 10);
-        mWorkers.put(entry.id(), worker);
         return worker;
     }
 
@@ -378,7 +349,7 @@
         if (!mOpen) {
             return;
         }
-        for (WorkerSession worker : new ArrayList<>(mWorkers.values())) {
+        for (WorkerSession worker : new ArrayList<>(mWorkers.all())) {
             if (worker.silent() && !worker.runs().isEmpty() && worker.leasesLapsed()) {
                 lose(worker, "its leases have lapsed and it does not answer");
             } else {
@@ -440,7 +411,7 @@
             return;
         }
         if (!mWriter.isBusy()) {
-            for (Run run : mScheduler.place(mWorkers.values(), mLoop)) {
+            for (Run run : mScheduler.place(mWorkers.all(), mLoop)) {
                 attach(run);
                 mDecided.add(run);
                 mJobs.changed(run.task.step.job);
@@ -448,7 +419,7 @@
             if (mJobs.hasChanges()) {
                 commit();
             } else {
-                mWorkers.values().forEach(worker -> worker.stored(worker.seenEnd()));
+                mWorkers.all().forEach(worker -> worker.stored(worker.seenEnd()));
             }
         }
     }
@@ -458,7 +429,7 @@
         List<Run> decided = new ArrayList<>(mDecided);
         mDecided.clear();
         Map<WorkerSession, Long> ends = new HashMap<>();
-        mWorkers.values().forEach(worker -> ends.put(worker, worker.seenEnd()));
+        mWorkers.all().forEach(worker -> ends.put(worker, worker.seenEnd()));
         List<KeyedRecord> records = new ArrayList<>();
         Map<Job, JobPhase> phases = new LinkedHashMap<>();
         for (Job job : changed) {
@@ -690,8 +661,7 @@
     public void otherLife(WorkerSession worker) {
         if (mWorkers.get(worker.id()) == worker) {
             lose(worker, "another life answers at its address");
-            worker.close();
-            mWorkers.remove(worker.id());
+            mWorkers.remove(worker);
         }
     }
 
@@ -699,7 +669,7 @@
     public void looked(WorkerSession worker) {
         mSharing.looked(worker);
         for (Run run : mSharing.stuck(worker)) {
-            if (mScheduler.hasBetterPlace(run, mWorkers.values())) {
+            if (mScheduler.hasBetterPlace(run, mWorkers.all())) {
                 LogEvent.FILLER_MOVED.log(run, run.pacePercent);
                 run.task.moveCount++;
                 worker.stop(run);
@@ -707,38 +677,6 @@
         }
     }
 
-    private void listWorker(String key, byte[] value) {
-        mDocuments
-                .worker(key, value)
-                .peek(this::listWorker)
-                .peekLeft(reason -> LogEvent.RECORD_SKIPPED.log(key + ": " + reason));
-    }
-
-    private void listWorker(WorkerEntry entry) {
-        Loop.Timer timer = mUnlisted.remove(entry.id());
-        if (timer != null) {
-            timer.cancel();
-        }
-        WorkerSession worker = mWorkers.get(entry.id());
-        if (worker != null && entry.bornWallMillis() < worker.bornWallMillis()) {
-            return;
-        }
-        if (worker != null && entry.bornWallMillis() > worker.bornWallMillis()) {
-            otherLife(worker);
-            worker = null;
-        }
-        if (worker == null) {
-            worker = newSession(entry);
-        }
-        boolean begins = entry.draining() && !worker.entry().draining();
-        worker.update(entry);
-        worker.listed = true;
-        if (begins) {
-            LogEvent.WORKER_DRAINING.log(entry.id(), entry.drainLeftMillis());
-            leave(worker);
-        }
-    }
-
     /** Moves what would lose work when its worker has left, and what is to last. */
     private void leave(WorkerSession worker) {
         long leftMillis = worker.entry().drainLeftMillis();
@@ -754,28 +692,6 @@
         }
     }
 
-    private void unlistWorker(WorkerId id) {
-        WorkerSession worker = mWorkers.get(id);
-        if (worker == null || mUnlisted.containsKey(id)) {
-            return;
-        }
-        worker.listed = false;
-        mUnlisted.put(id, mLoop.schedule(UNLISTED_MILLIS, () -> dropIfIdle(worker)));
-    }
-
-    private void dropIfIdle(WorkerSession worker) {
-        mUnlisted.remove(worker.id());
-        if (worker.listed || !mOpen) {
-            return;
-        }
-        if (worker.runs().isEmpty()) {
-            worker.close();
-            mWorkers.remove(worker.id(), worker);
-        } else {
-            mUnlisted.put(worker.id(), mLoop.schedule(UNLISTED_MILLIS, () -> dropIfIdle(worker)));
-        }
-    }
-
     private final class JobsListener implements TopicFollower.Listener {
         @Override
         public void loaded(Map<String, byte[]> newest) {
@@ -827,30 +743,25 @@
         }
     }
 
-    private final class WorkersListener implements TopicFollower.Listener {
+    private final class WorkersListener implements WorkerRegistry.Listener {
         @Override
-        public void loaded(Map<String, byte[]> newest) {
-            for (WorkerId id : new ArrayList<>(mWorkers.keySet())) {
-                if (!newest.containsKey(id.value())) {
-                    unlistWorker(id);
-                }
-            }
-            newest.forEach(Dispatcher.this::listWorker);
+        public void loaded() {
             takeOverIfLoaded();
-            Dispatcher.this.changed();
         }
 
         @Override
-        public void changed(List<KeyedRecord> records) {
-            for (KeyedRecord record : records) {
-                byte[] value = record.value();
-                if (value == null) {
-                    WorkerId.parse(record.key()).forEach(Dispatcher.this::unlistWorker);
-                } else {
-                    listWorker(record.key(), value);
-                }
-            }
+        public void changed() {
             Dispatcher.this.changed();
         }
+
+        @Override
+        public void restarted(WorkerSession worker) {
+            otherLife(worker);
+        }
+
+        @Override
+        public void draining(WorkerSession worker) {
+            leave(worker);
+        }
     }
 }
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -21,6 +21,8 @@
     SETTINGS_READ(104, Level.INFO, "settings of {} read again"),
     /** Changed settings cannot be used. */
     SETTINGS_REFUSED(105, Level.ERROR, "changed settings are not used: {}"),
+    /** Log lines were dropped. */
+    LOG_DROPPED(106, Level.WARN, "{} log lines were dropped"),
     /** The log cannot be read or written. */
     LOG_UNAVAILABLE(200, Level.WARN, "{}"),
     /** The log can be used again. */
@@ -171,8 +173,17 @@
         write(cause, arguments);
     }
 
+    /** Returns the line of an event with one argument, for a writer that cannot log itself. */
+    String text(Object argument) {
+        return mLevel + " " + prefixed().replace("{}", argument.toString());
+    }
+
+    private String prefixed() {
+        return "HW" + mNumber + " " + mTemplate;
+    }
+
     private void write(@Nullable Throwable cause, Object... arguments) {
-        String message = "HW" + mNumber + " " + mTemplate;
+        String message = prefixed();
         switch (mLevel) {
             case ERROR -> Logger.error(cause, message, arguments);
             case WARN -> Logger.warn(cause, message, arguments);
