--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
@@ -371,4 +371,37 @@
         mScene.mLoop.advance(5_000);
         assertEquals(0, mScene.startedCount());
     }
+
+    /**
+     * Guards against lasting jobs that are placed in the order in which they happen to arrive:
+     * those that come within a moment wait for each other, but no single one waits long.
+     */
+    @Test
+    void lastingJobsThatArriveTogetherArePlacedTogether() {
+        worker("w1").taskMillis = 60_000;
+        worker("w2").taskMillis = 60_000;
+        mScene.lead(1);
+        mScene.mLoop.advance(200);
+        for (int index = 0; index < 4; index++) {
+            mScene.submit("job" + index, LeaderScene.lasting(1, 500));
+            mScene.mLoop.advance(50);
+        }
+        assertEquals(0, mScene.startedCount());
+        mScene.mLoop.advance(500);
+        assertEquals(4, mScene.startedCount());
+    }
+
+    /** Guards against a lasting job that waits as long as others keep coming. */
+    @Test
+    void aStreamOfLastingJobsDoesNotHoldUpTheFirst() {
+        worker("w1").taskMillis = 60_000;
+        worker("w2").taskMillis = 60_000;
+        mScene.lead(1);
+        mScene.mLoop.advance(200);
+        for (int index = 0; index < 10; index++) {
+            mScene.submit("job" + index, LeaderScene.lasting(1, 100));
+            mScene.mLoop.advance(100);
+        }
+        assertTrue(mScene.startedCount() > 0);
+    }
 }
