--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Sharing.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Sharing.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.WeakHashMap;
-import org.hornbeamward.codec.Reader;
 import org.hornbeamward.dispatch.decide.Neighbors;
 import org.hornbeamward.dispatch.decide.Pacing;
 import org.hornbeamward.dispatch.decide.PressureModel;
@@ -50,7 +49,7 @@
      * Starts from what an earlier leader has learned.
      *
      * @param bytes its record
-     * @throws Reader.MalformedInputException if the bytes are no such record
+     * @throws org.hornbeamward.codec.Reader.MalformedInputException if the bytes are no such record
      */
     void restoreLearned(byte[] bytes) {
         mModel.restore(PressureCodec.decode(bytes));
