Convert millicores of a step in one place

Sharing and Neighbors each had the constant and the division; StepSpec.cores() serves both. Nothing that is decided changes.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Neighbors.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Neighbors.java
@@ -9,8 +9,6 @@
 
 /** The serving tasks and fillers of a worker, as they matter to a task that may join them. */
 public final class Neighbors {
-    private static final double MILLICORES_PER_CORE = 1_000.0;
-
     /** Share of the filler images that an unknown serving image is assumed to keep away. */
     private static final double UNKNOWN_KEPT_AWAY_SHARE = 0.4;
 
@@ -61,9 +59,7 @@
     }
 
     private double taken(String image, StepSpec filler) {
-        return filler.size().cpuMillicores()
-                / MILLICORES_PER_CORE
-                * mModel.perCore(image, filler.image());
+        return filler.cores() * mModel.perCore(image, filler.image());
     }
 
     /**
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/StepSpec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/StepSpec.java
@@ -41,6 +41,9 @@
         boolean filler,
         int mayMissCount) {
 
+    /** Millicores in a core. */
+    public static final double MILLICORES_PER_CORE = 1_000.0;
+
     /** Copies the dependencies. */
     public StepSpec {
         dependencies = List.copyOf(dependencies);
@@ -55,6 +58,15 @@
         return filler ? new Resources(0, size.memoryMib(), size.acceleratorCount()) : size;
     }
 
+    /**
+     * Returns the processors that a task asks for.
+     *
+     * @return cores
+     */
+    public double cores() {
+        return size.cpuMillicores() / MILLICORES_PER_CORE;
+    }
+
     /**
      * Returns whether tasks have a tail latency target of their own.
      *
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Sharing.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Sharing.java
@@ -15,8 +15,6 @@
 
 /** Learns from looks how fillers press on serving tasks, and paces them on each worker. */
 final class Sharing {
-    private static final double MILLICORES_PER_CORE = 1_000.0;
-
     /** Headroom of a serving task that has reported nothing yet. */
     private static final double UNKNOWN_HEADROOM = 2.0;
 
@@ -62,7 +60,7 @@
         for (Run run : runs) {
             StepSpec spec = run.task.step.spec;
             if (spec.filler()) {
-                fillerCores.merge(spec.image(), cores(spec), Double::sum);
+                fillerCores.merge(spec.image(), spec.cores(), Double::sum);
             } else if (spec.serving()) {
                 serving.add(new Neighbors.Serving(spec.image(), expectedHeadroom(run)));
             }
@@ -77,10 +75,6 @@
                 : group.expectedHeadroom(run.task.name.index());
     }
 
-    private static double cores(StepSpec spec) {
-        return spec.size().cpuMillicores() / MILLICORES_PER_CORE;
-    }
-
     /** Learns from a look and adjusts the pace of the worker's fillers. */
     void looked(WorkerSession worker) {
         if (worker.lastingCpuMillicores() == 0) {
@@ -90,7 +84,8 @@
         for (Run run : worker.runs()) {
             StepSpec spec = run.task.step.spec;
             if (spec.filler() && run.state == Run.State.PRESENT) {
-                usedCores.merge(spec.image(), run.reportedLoad / MILLICORES_PER_CORE, Double::sum);
+                usedCores.merge(
+                        spec.image(), run.reportedLoad / StepSpec.MILLICORES_PER_CORE, Double::sum);
             }
         }
         for (Run run : worker.runs()) {
@@ -113,7 +108,7 @@
             StepSpec spec = run.task.step.spec;
             if (spec.filler() && run.state == Run.State.PRESENT) {
                 fillerRuns.add(run);
-                fillers.add(new Pacing.Filler(spec.image(), cores(spec), run.pacePercent));
+                fillers.add(new Pacing.Filler(spec.image(), spec.cores(), run.pacePercent));
             } else if (spec.serving() && run.reportedLoad > 0) {
                 serving.add(serving(run));
             }
