--- /dev/null
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
@@ -0,0 +1,169 @@
+package org.hornbeamward.dispatch.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.hornbeamward.dispatch.config.ClusterConfig;
+import org.hornbeamward.dispatch.config.PoolConfig;
+import org.hornbeamward.dispatch.config.QueueConfig;
+import org.hornbeamward.dispatch.entry.EntryNode.JobOutcome;
+import org.hornbeamward.dispatch.fake.FakeStore;
+import org.hornbeamward.dispatch.fake.FakeWorkers;
+import org.hornbeamward.dispatch.fake.VirtualLoop;
+import org.hornbeamward.dispatch.lead.DispatchLimits;
+import org.hornbeamward.dispatch.port.Documents;
+import org.hornbeamward.dispatch.port.KeyedRecord;
+import org.hornbeamward.dispatch.port.Topic;
+import org.hornbeamward.dispatch.port.WorkerEntry;
+import org.hornbeamward.lib.JobId;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** An entry that follows a leader, with a fake store and feed on a virtual clock. */
+class EntryNodeTest {
+    private static final QueueConfig QUEUE =
+            new QueueConfig("queue", "host", "/q/", "pool", 0, 3, 2.0, 250, false, 0);
+    private static final JobId JOB = new JobId("0123456789abcdef");
+
+    private final VirtualLoop mLoop = new VirtualLoop();
+    private final FakeStore mStore = new FakeStore(mLoop);
+    private final FakeFeed mFeed = new FakeFeed();
+    private final EventLoopGroup mGroup = new NioEventLoopGroup(1);
+    private EntryNode mNode;
+
+    /** Captures the receiver of the leader's messages. */
+    private static final class FakeFeed implements LeaderFeed {
+        private Optional<LeaderFeed.Receiver> mReceiver = Optional.empty();
+
+        @Override
+        public void follow(String address, LeaderFeed.Receiver receiver) {
+            mReceiver = Optional.of(receiver);
+        }
+
+        @Override
+        public void unfollow() {}
+    }
+
+    private static final class FakeDocuments implements Documents {
+        @Override
+        public Either<String, OperatorDocument> decodeOperatorRecord(String key, byte[] value) {
+            if (!key.equals("config")) {
+                return Either.left("unknown key " + key);
+            }
+            long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+            return Either.right(
+                    new OperatorDocument.Config(
+                            ClusterConfig.of(
+                                    version,
+                                    List.of(QUEUE),
+                                    List.of(new PoolConfig("pool", true, false)),
+                                    1_000)));
+        }
+
+        @Override
+        public Either<String, WorkerEntry> decodeWorkerEntry(String key, byte[] value) {
+            return Either.left("there are no workers");
+        }
+    }
+
+    private void writeConfig(String version) {
+        mStore.records(Topic.OPERATOR)
+                .add(new KeyedRecord("config", version.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @BeforeEach
+    void startFollowing() throws InterruptedException {
+        writeConfig("7");
+        LeaderRecord leader = new LeaderRecord("other", 1, "127.0.0.1:1", 1, false);
+        mStore.records(Topic.LEADER).add(new KeyedRecord(LeaderRecord.KEY, leader.encode()));
+        mNode =
+                new EntryNode(
+                        mLoop,
+                        mStore,
+                        new FakeWorkers(mLoop),
+                        new FakeDocuments(),
+                        new DispatchLimits(6_000, 120_000, 1.0, 1_000),
+                        mFeed,
+                        new FeedServer(mGroup, "127.0.0.1", 0),
+                        new Random(1),
+                        "entry",
+                        "127.0.0.1:2");
+        mNode.start();
+        mLoop.advance(100);
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Phases(true, true, List.of()));
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Heartbeat(1, true, 0, 0, 10));
+    }
+
+    @AfterEach
+    void stopGroup() {
+        mGroup.shutdownGracefully();
+    }
+
+    private JobOutcome phase() {
+        CompletableFuture<JobOutcome> answer = mNode.phase(QUEUE, JOB);
+        mLoop.advance(300);
+        return answer.join();
+    }
+
+    /**
+     * Guards against a process that wakes after a suspension and denies a job that another entry
+     * accepted meanwhile, because its monotonic clock has not counted the time.
+     */
+    @Test
+    void anEntryThatWasSuspendedDoesNotDenyAJob() {
+        assertInstanceOf(JobOutcome.NoSuchJob.class, phase());
+
+        mLoop.suspend(10_000);
+
+        assertInstanceOf(JobOutcome.Unavailable.class, phase());
+    }
+
+    /** Guards against callers that keep connecting to an instance that the store turns away. */
+    @Test
+    void anEntryWithoutTheStoreIsNotReadyUntilItAnswersAgain() {
+        assertTrue(mNode.isReady());
+        mStore.down = true;
+        mLoop.advance(4_500);
+        assertFalse(mNode.isReady());
+
+        mStore.down = false;
+        mLoop.advance(1_500);
+
+        assertTrue(mNode.isReady());
+    }
+
+    /** Guards against a configuration that reverts when an older record is read again. */
+    @Test
+    void anOlderConfigurationDoesNotReplaceANewerOne() {
+        writeConfig("9");
+        mLoop.advance(200);
+        assertEquals(9, mNode.config().orElseThrow().version());
+        writeConfig("8");
+        mStore.dropHistory(Topic.OPERATOR);
+        mLoop.advance(3_000);
+
+        assertEquals(9, mNode.config().orElseThrow().version());
+    }
+
+    /** Guards against an unreadable operator record that ends the reading of later ones. */
+    @Test
+    void aConfigurationThatCannotBeReadDoesNotStopLaterOnes() {
+        writeConfig("not a number");
+        mLoop.advance(200);
+        writeConfig("11");
+        mLoop.advance(200);
+
+        assertEquals(11, mNode.config().orElseThrow().version());
+    }
+}
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/JobsWriterTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/JobsWriterTest.java
@@ -72,4 +72,25 @@
         assertInstanceOf(JobsWriter.Outcome.Stored.class, later.join());
         assertTrue(mWriter.isAvailable());
     }
+
+    /**
+     * Guards against a repeated request that is told "not stored" while the append of the first one
+     * has got no answer and may still take effect.
+     */
+    @Test
+    void aRepeatedRequestIsNotRefusedWhileAnEarlierAppendMayTakeEffect() {
+        mStore.loseAnswerCount = 100;
+        CompletableFuture<JobsWriter.Outcome> first = store("j/1");
+        mLoop.advance(2_000);
+        assertInstanceOf(JobsWriter.Outcome.Unknown.class, first.join());
+        mStore.loseAnswerCount = 0;
+        mStore.down = true;
+
+        CompletableFuture<JobsWriter.Outcome> repeated = store("j/1");
+        CompletableFuture<JobsWriter.Outcome> other = store("j/2");
+        mLoop.advance(1_000);
+
+        assertInstanceOf(JobsWriter.Outcome.Unknown.class, repeated.join());
+        assertInstanceOf(JobsWriter.Outcome.NotStored.class, other.join());
+    }
 }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -30,6 +30,7 @@
     private final WorkerId mId;
     private final Resources mCapacity;
     private final Map<TaskName, Integer> mRunning = new LinkedHashMap<>();
+    private final Map<TaskName, Long> mStartedMillis = new HashMap<>();
     private final Map<TaskName, Integer> mHighestEndedAttempts = new HashMap<>();
     private final List<EndReport> mUnacknowledgedEnds = new ArrayList<>();
     private long mIncarnationStartWallMillis;
@@ -41,6 +42,9 @@
     /** Whether calls neither reach the worker nor get an answer. */
     public boolean unreachable;
 
+    /** Whether calls throw an unexpected exception instead of being sent. */
+    public boolean callsThrow;
+
     /** Delay after which start orders take effect; a delayed order gets no answer; 0 for none. */
     public long startDelayMillis;
 
@@ -158,6 +162,7 @@
         }
         if (mRunning.putIfAbsent(order.task(), order.attempt()) == null) {
             started.add(order.task());
+            mStartedMillis.put(order.task(), mLoop.nowMillis());
             long incarnationStartWallMillis = mIncarnationStartWallMillis;
             mLoop.schedule(taskMillis, () -> finish(order, incarnationStartWallMillis));
         }
@@ -199,7 +204,8 @@
         mAcknowledgedEnd = Math.max(mAcknowledgedEnd, acknowledgedEnd);
         mUnacknowledgedEnds.removeIf(end -> end.number() <= mAcknowledgedEnd);
         List<RunReport> running = new ArrayList<>();
-        mRunning.forEach((task, attempt) -> running.add(new RunReport(task, attempt, "", 0, 0)));
+        mRunning.forEach(
+                (task, attempt) -> running.add(new RunReport(task, attempt, "", percent(task), 0)));
         return new PollOutcome.Seen(
                 mIncarnationStartWallMillis,
                 clockMillis(),
@@ -208,6 +214,11 @@
                 true);
     }
 
+    private int percent(TaskName task) {
+        long workedMillis = mLoop.nowMillis() - mStartedMillis.getOrDefault(task, 0L);
+        return (int) Math.min(99, 100 * workedMillis / taskMillis);
+    }
+
     boolean hasUnacknowledgedEnds() {
         expireLeases();
         return !mUnacknowledgedEnds.isEmpty();
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
@@ -63,6 +63,9 @@
             Supplier<CompletableFuture<T>> action) {
         CompletableFuture<T> answer = new CompletableFuture<>();
         FakeWorker worker = get(entry.id().value());
+        if (worker.callsThrow) {
+            throw new IllegalArgumentException("port 99999 is out of range");
+        }
         if (worker.unreachable) {
             mLoop.schedule(timeoutMillis, () -> answer.complete(unreachableOutcome));
         } else if (worker.entry().incarnationStartWallMillis()
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/VirtualLoop.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/VirtualLoop.java
@@ -13,6 +13,13 @@
                     Comparator.comparingLong(ScheduledTask::atMillis)
                             .thenComparingLong(ScheduledTask::sequence));
     private long mNowMillis = 1_000;
+
+    /** Whether the loop runs on after a task has thrown, as the loop of a process does. */
+    public boolean logsFailures;
+
+    /** Number of tasks that have thrown. */
+    public int failureCount;
+
     private long mSequence;
     private long mSuspendedMillis;
 
@@ -53,7 +60,14 @@
         while (!mScheduledTasks.isEmpty() && mScheduledTasks.peek().atMillis() <= end) {
             ScheduledTask scheduled = mScheduledTasks.remove();
             mNowMillis = scheduled.atMillis();
-            scheduled.task().run();
+            try {
+                scheduled.task().run();
+            } catch (RuntimeException e) {
+                if (!logsFailures) {
+                    throw e;
+                }
+                failureCount++;
+            }
         }
         mNowMillis = end;
     }
--- /dev/null
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/SlowWorkerTest.java
@@ -0,0 +1,123 @@
+package org.hornbeamward.dispatch.lead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.hornbeamward.dispatch.fake.FakeWorker;
+import org.hornbeamward.dispatch.job.JobPhase;
+import org.hornbeamward.dispatch.port.KeyedRecord;
+import org.hornbeamward.dispatch.port.Topic;
+import org.hornbeamward.lib.JobId;
+import org.junit.jupiter.api.Test;
+
+/** Replays workers that turn slow or silent while their tasks run. */
+class SlowWorkerTest {
+    private static final int USUAL_MILLIS = 800;
+
+    private final LeaderFixture mFixture = new LeaderFixture();
+
+    SlowWorkerTest() {
+        mFixture.mWorkers.add("w3", 4_000);
+        mFixture.registerWorker("w3");
+    }
+
+    private FakeWorker worker(String name) {
+        FakeWorker worker = mFixture.mWorkers.get(name);
+        worker.taskMillis = USUAL_MILLIS;
+        return worker;
+    }
+
+    private void startWithSlowWorker() {
+        worker("w1");
+        worker("w2");
+        worker("w3").taskMillis = 10 * USUAL_MILLIS;
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(300);
+    }
+
+    /**
+     * Guards against tasks that stay on a worker at a tenth of its speed, so that their jobs end
+     * when their result is worth nothing any more.
+     */
+    @Test
+    void tasksOnASlowWorkerAreCompletedElsewhere() {
+        startWithSlowWorker();
+        JobId job = mFixture.submit("job", LeaderFixture.step(9, 1_000));
+
+        mFixture.mLoop.advance(5 * USUAL_MILLIS);
+
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
+
+    /** Guards against a slow worker that keeps getting tasks while others have room. */
+    @Test
+    void aSlowWorkerGetsNoNewTasksWhileOthersHaveRoom() {
+        startWithSlowWorker();
+        mFixture.submit("first", LeaderFixture.step(9, 1_000));
+        mFixture.mLoop.advance(3 * USUAL_MILLIS);
+        int startedCount = worker("w3").started.size();
+        assertTrue(startedCount > 0);
+        worker("w3").taskMillis = 10 * USUAL_MILLIS;
+
+        JobId second = mFixture.submit("second", LeaderFixture.step(6, 1_000));
+        mFixture.mLoop.advance(2 * USUAL_MILLIS);
+
+        assertEquals(startedCount, mFixture.mWorkers.get("w3").started.size());
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(second));
+    }
+
+    /** Guards against a worker that is avoided for good after it has recovered. */
+    @Test
+    void aWorkerThatHasRecoveredIsUsedAgain() {
+        startWithSlowWorker();
+        mFixture.submit("first", LeaderFixture.step(9, 1_000));
+        mFixture.mLoop.advance(3 * USUAL_MILLIS);
+        int startedCount = worker("w3").started.size();
+        mFixture.mLoop.advance(13_000);
+
+        JobId second = mFixture.submit("second", LeaderFixture.step(9, 1_000));
+        mFixture.mLoop.advance(3 * USUAL_MILLIS);
+
+        assertTrue(mFixture.mWorkers.get("w3").started.size() > startedCount);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(second));
+    }
+
+    /**
+     * Guards against running work that is started elsewhere or given up because its worker did not
+     * answer for three seconds.
+     */
+    @Test
+    void workOnAWorkerThatIsSilentForThreeSecondsGoesOn() {
+        worker("w1").taskMillis = 6_000;
+        worker("w2").taskMillis = 6_000;
+        worker("w3").taskMillis = 6_000;
+        mFixture.startDispatcher(1);
+        JobId job = mFixture.submit("job", LeaderFixture.step(3, 3_000));
+        mFixture.mLoop.advance(1_000);
+        mFixture.mWorkers.get("w1").unreachable = true;
+        mFixture.mLoop.advance(3_000);
+        mFixture.mWorkers.get("w1").unreachable = false;
+        mFixture.mLoop.advance(6_000);
+
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+        assertEquals(3, mFixture.startedCount() + mFixture.mWorkers.get("w3").started.size());
+    }
+
+    /**
+     * Guards against a worker that has left and is used again by a leader that has just started.
+     */
+    @Test
+    void aWorkerThatHasLeftIsNotUsedByANewLeader() {
+        startWithSlowWorker();
+        mFixture.mStore.records(Topic.WORKERS).add(new KeyedRecord("w3", null));
+        mFixture.mLoop.advance(300);
+        mFixture.startDispatcher(2);
+        mFixture.mLoop.advance(300);
+
+        mFixture.submit("job", LeaderFixture.step(9, 1_000));
+        mFixture.mLoop.advance(2_000);
+
+        assertTrue(mFixture.mWorkers.get("w3").started.isEmpty());
+        assertEquals(9, mFixture.startedCount());
+    }
+}
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
@@ -177,8 +177,8 @@
         if (!mRunning) {
             return;
         }
-        evaluateLeader();
         mLoop.schedule(TICK_MILLIS, this::tick);
+        evaluateLeader();
     }
 
     private void evaluateLeader() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -19,6 +19,7 @@
 import org.hornbeamward.dispatch.lead.JobKeys;
 import org.hornbeamward.dispatch.lead.NodeMetrics;
 import org.hornbeamward.dispatch.lead.StatusListener;
+import org.hornbeamward.dispatch.port.ClockReading;
 import org.hornbeamward.dispatch.port.Documents;
 import org.hornbeamward.dispatch.port.Documents.OperatorDocument;
 import org.hornbeamward.dispatch.port.KeyedRecord;
@@ -49,6 +50,13 @@
      */
     private static final long MAX_JOBS_AGE_MILLIS = 2_500;
 
+    /**
+     * Time without an answer of the store after which this entry is not ready, so that callers
+     * connect to instances that reach it. Covers a long poll of 1 s and answers that take 60 times
+     * as long as usual.
+     */
+    private static final long MAX_STORE_SILENCE_MILLIS = 3_000;
+
     /** How long a request for an unknown job waits for an update from the leader. */
     private static final long UNKNOWN_JOB_WAIT_MILLIS = 250;
 
@@ -124,7 +132,7 @@
     private long mEpoch;
     private boolean mStatusComplete;
     private boolean mStopping;
-    private long mLastHeartbeatMillis = Long.MIN_VALUE;
+    private @Nullable ClockReading mLastHeartbeat;
     private long mJobsAgeMillis = Long.MAX_VALUE;
 
     /**
@@ -147,7 +155,7 @@
             WorkerControl control,
             Documents documents,
             DispatchLimits limits,
-            FeedClient feed,
+            LeaderFeed feed,
             FeedServer feedServer,
             RandomGenerator random,
             String instance,
@@ -249,10 +257,13 @@
     /**
      * Returns whether this entry is ready for requests of callers.
      *
-     * @return true while a configuration is in force and the entry is not stopping
+     * @return true while a configuration is in force, the store answers this instance and the entry
+     *     is not stopping
      */
     public boolean isReady() {
-        return mConfig != null && !mStopping;
+        return mConfig != null
+                && !mStopping
+                && mOperatorFollower.ageMillis() < MAX_STORE_SILENCE_MILLIS;
     }
 
     /**
@@ -336,9 +347,7 @@
         }
         if (!isStatusFresh()) {
             return new JobOutcome.Unavailable(
-                    "the leader has not been heard of for "
-                            + (mLoop.nowMillis() - mLastHeartbeatMillis)
-                            + " ms",
+                    "the leader has not been heard of for " + heartbeatAgeMillis() + " ms",
                     RETRY_AFTER_MILLIS);
         }
         return new JobOutcome.NoSuchJob();
@@ -399,10 +408,15 @@
             return dispatcher.isReady() && dispatcher.jobsAgeMillis() < MAX_JOBS_AGE_MILLIS;
         }
         return mStatusComplete
-                && mLoop.nowMillis() - mLastHeartbeatMillis < MAX_FEED_AGE_MILLIS
+                && heartbeatAgeMillis() < MAX_FEED_AGE_MILLIS
                 && mJobsAgeMillis < MAX_JOBS_AGE_MILLIS;
     }
 
+    private long heartbeatAgeMillis() {
+        ClockReading lastHeartbeat = mLastHeartbeat;
+        return lastHeartbeat == null ? Long.MAX_VALUE : lastHeartbeat.ageMillis(mLoop);
+    }
+
     private List<FeedMessage> initialMessages() {
         List<FeedMessage> messages = new ArrayList<>();
         Dispatcher dispatcher = mDispatcher;
@@ -429,11 +443,11 @@
     }
 
     private void sendHeartbeats() {
+        mLoop.schedule(Election.HEARTBEAT_MILLIS, this::sendHeartbeats);
         Dispatcher dispatcher = mDispatcher;
         if (dispatcher != null) {
             mFeedServer.broadcast(createHeartbeat(dispatcher));
         }
-        mLoop.schedule(Election.HEARTBEAT_MILLIS, this::sendHeartbeats);
     }
 
     private void flushRows() {
@@ -550,7 +564,7 @@
                 case FeedMessage.Heartbeat heartbeat -> {
                     if (heartbeat.epoch() == mLeader.epoch()) {
                         mElection.heartbeatReceived(heartbeat);
-                        mLastHeartbeatMillis = mLoop.nowMillis();
+                        mLastHeartbeat = ClockReading.now(mLoop);
                         mJobsAgeMillis =
                                 heartbeat.ready() ? heartbeat.jobsAgeMillis() : Long.MAX_VALUE;
                     }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/JobsWriter.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/JobsWriter.java
@@ -1,7 +1,9 @@
 package org.hornbeamward.dispatch.entry;
 
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Loop;
@@ -30,6 +32,12 @@
     /** How long a record that the store refuses is retried; callers can repeat the request. */
     private static final long MAX_REFUSED_RETRY_MILLIS = 300;
 
+    /**
+     * How long an append without an answer may still take effect. The platform's documentation says
+     * seconds; orders to workers are carried out up to 12 s late.
+     */
+    private static final long LATE_APPEND_MILLIS = 15_000;
+
     /** Outcome of storing a record. */
     sealed interface Outcome {
         /** The record is stored. */
@@ -67,6 +75,14 @@
     private final Loop mLoop;
     private final Store mStore;
     private final List<PendingRecord> mPending = new ArrayList<>();
+
+    /**
+     * Keys whose last append got no answer, with the monotonic time after which that append can no
+     * longer take effect. A repeated request for such a key must not be told that the record is not
+     * stored.
+     */
+    private final Map<String, Long> mUnansweredUntilMillis = new LinkedHashMap<>();
+
     private boolean mBusy;
     private boolean mAvailable = true;
 
@@ -91,7 +107,7 @@
         PendingRecord pending = new PendingRecord(record, mLoop.nowMillis(), deadlineMillis);
         if (!mAvailable && mBusy) {
             return CompletableFuture.completedFuture(
-                    new Outcome.NotStored("the store does not take submissions at present"));
+                    notStored(record, "the store does not take submissions at present"));
         }
         mPending.add(pending);
         send();
@@ -103,8 +119,7 @@
             return;
         }
         mBusy = true;
-        List<PendingRecord> batch = new ArrayList<>(mPending);
-        mPending.clear();
+        List<PendingRecord> batch = takeBatch();
         mStore.append(
                         Topic.JOBS,
                         batch.stream().map(pending -> pending.mRecord).toList(),
@@ -113,18 +128,45 @@
                 .thenAccept(outcome -> appendAnswered(batch, outcome));
     }
 
+    /** Removes and returns the pending records that fit into one call; at least one. */
+    private List<PendingRecord> takeBatch() {
+        int count =
+                Store.splitForAppend(mPending.stream().map(pending -> pending.mRecord).toList())
+                        .get(0)
+                        .size();
+        List<PendingRecord> first = mPending.subList(0, count);
+        List<PendingRecord> batch = new ArrayList<>(first);
+        first.clear();
+        return batch;
+    }
+
+    /** Returns the outcome of a record that this request has not stored. */
+    private Outcome notStored(KeyedRecord record, String reason) {
+        long now = mLoop.nowMillis();
+        mUnansweredUntilMillis.values().removeIf(untilMillis -> untilMillis <= now);
+        return mUnansweredUntilMillis.containsKey(record.key())
+                ? new Outcome.Unknown("an earlier append of it got no answer; now " + reason)
+                : new Outcome.NotStored(reason);
+    }
+
     private void appendAnswered(List<PendingRecord> batch, AppendOutcome outcome) {
         boolean stored = outcome instanceof AppendOutcome.Appended;
         updateAvailable(stored, outcome);
         if (stored) {
             mBusy = false;
+            batch.forEach(pending -> mUnansweredUntilMillis.remove(pending.mRecord.key()));
             batch.forEach(pending -> pending.mOutcome.complete(new Outcome.Stored()));
             send();
             return;
         }
         boolean possiblyStored = outcome instanceof AppendOutcome.Unknown;
+        if (possiblyStored) {
+            long untilMillis = mLoop.nowMillis() + LATE_APPEND_MILLIS;
+            batch.forEach(
+                    pending -> mUnansweredUntilMillis.put(pending.mRecord.key(), untilMillis));
+        }
         for (PendingRecord unsent : mPending) {
-            unsent.mOutcome.complete(new Outcome.NotStored("not sent: " + outcome));
+            unsent.mOutcome.complete(notStored(unsent.mRecord, "not sent: " + outcome));
         }
         mPending.clear();
         for (PendingRecord pending : batch) {
@@ -155,7 +197,7 @@
                 && now < pending.mDeadlineMillis) {
             return false;
         }
-        pending.mOutcome.complete(new Outcome.NotStored(outcome.toString()));
+        pending.mOutcome.complete(notStored(pending.mRecord, outcome.toString()));
         return true;
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/JobSpec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/JobSpec.java
@@ -1,6 +1,7 @@
 package org.hornbeamward.dispatch.job;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * The specification of a job, as a caller submits it.
@@ -18,11 +19,47 @@
         long firstDueWallMillis,
         long intervalMillis) {
 
+    /**
+     * Largest number of tasks over all steps and occurrences. The progress of a job is one record
+     * of the store, which takes at most 256 KiB, and a running task takes up to 74 bytes of it.
+     */
+    public static final int MAX_TASK_COUNT = 3_500;
+
     /** Copies the steps. */
     public JobSpec {
         steps = List.copyOf(steps);
     }
 
+    /**
+     * Returns why a job cannot be scheduled, whatever the state of the cluster is.
+     *
+     * @return the problem, or empty if the specification is valid
+     */
+    public Optional<String> problem() {
+        if (steps.isEmpty()) {
+            return Optional.of("the job has no steps");
+        }
+        if (repeatCount < 0 || intervalMillis < 0 || firstDueWallMillis < 0) {
+            return Optional.of("the number of occurrences or a time is negative");
+        }
+        long taskCount = 0;
+        for (int number = 0; number < steps.size(); number++) {
+            Optional<String> problem = steps.get(number).problem(number);
+            if (problem.isPresent()) {
+                return problem;
+            }
+            taskCount += steps.get(number).taskCount();
+        }
+        if (taskCount * occurrenceCount() > MAX_TASK_COUNT) {
+            return Optional.of(
+                    "the job has "
+                            + taskCount * occurrenceCount()
+                            + " tasks; split it into jobs of at most "
+                            + MAX_TASK_COUNT);
+        }
+        return Optional.empty();
+    }
+
     /**
      * Returns whether the job runs at set times.
      *
@@ -60,6 +97,20 @@
         return timed() ? firstDueWallMillis + occurrence * intervalMillis : 0;
     }
 
+    /**
+     * Returns when the newest occurrence that is due became due.
+     *
+     * @param nowWallMillis time of day in Unix milliseconds
+     * @return Unix milliseconds; the time of the first occurrence if none is due yet
+     */
+    public long newestDueWallMillis(long nowWallMillis) {
+        if (!timed() || intervalMillis <= 0 || nowWallMillis <= firstDueWallMillis) {
+            return firstDueWallMillis;
+        }
+        long dueCount = (nowWallMillis - firstDueWallMillis) / intervalMillis;
+        return firstDueWallMillis + Math.min(dueCount, repeatCount - 1L) * intervalMillis;
+    }
+
     /**
      * Returns the estimated duration of the longest chain of dependent steps (the critical path).
      *
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/StepSpec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/StepSpec.java
@@ -1,6 +1,7 @@
 package org.hornbeamward.dispatch.job;
 
 import java.util.List;
+import java.util.Optional;
 import org.hornbeamward.lib.Resources;
 
 /**
@@ -51,6 +52,31 @@
         dependencies = List.copyOf(dependencies);
     }
 
+    /**
+     * Returns why the step cannot be part of a job.
+     *
+     * @param number number of the step in its job from 0
+     * @return the problem, or empty if the step is valid
+     */
+    Optional<String> problem(int number) {
+        if (taskCount < 1 || taskCount > JobSpec.MAX_TASK_COUNT) {
+            return Optional.of(
+                    "count of step " + number + " is not between 1 and " + JobSpec.MAX_TASK_COUNT);
+        }
+        if (size.cpuMillicores() < 0 || size.memoryMib() < 0 || size.acceleratorCount() < 0) {
+            return Optional.of("step " + number + " asks for a negative size");
+        }
+        if (estimateMillis < 0 || maxPerWorker < 0 || tailTargetMillis < 0) {
+            return Optional.of("step " + number + " has a negative limit or duration");
+        }
+        for (int dependency : dependencies) {
+            if (dependency < 0 || dependency >= number) {
+                return Optional.of("depends_on of step " + number + " names no earlier step");
+            }
+        }
+        return Optional.empty();
+    }
+
     /**
      * Returns the resources that a task reserves on a worker.
      *
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/Submission.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/Submission.java
@@ -1,6 +1,7 @@
 package org.hornbeamward.dispatch.job;
 
 import java.util.List;
+import java.util.Optional;
 import org.hornbeamward.codec.Reader;
 import org.hornbeamward.codec.Writer;
 import org.hornbeamward.lib.JobId;
@@ -62,12 +63,14 @@
         for (int index = 0; index < steps.length; index++) {
             steps[index] = readStep(reader);
         }
-        return new Submission(
-                job,
-                queue,
-                acceptedWallMillis,
+        JobSpec spec =
                 new JobSpec(
-                        payload, List.of(steps), repeatCount, firstDueWallMillis, intervalMillis));
+                        payload, List.of(steps), repeatCount, firstDueWallMillis, intervalMillis);
+        Optional<String> problem = spec.problem();
+        if (problem.isPresent()) {
+            throw reader.malformed(problem.get());
+        }
+        return new Submission(job, queue, acceptedWallMillis, spec);
     }
 
     private static void write(Writer writer, StepSpec step) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -96,6 +96,7 @@
     private final OrderQueue mOrders = new OrderQueue();
     private final Scheduler mScheduler;
     private final FillerController mFillerController;
+    private final SlowRunDetector mSlowRunDetector;
     private Map<String, byte[]> mProgress = new HashMap<>();
     private boolean mOpen = true;
     private boolean mReady;
@@ -144,6 +145,7 @@
                 new WorkerRegistry(loop, store, documents, this::newSession, new WorkersListener());
         mFillerController = new FillerController(loop);
         mScheduler = new Scheduler(mJobs, mFillerController);
+        mSlowRunDetector = new SlowRunDetector(loop);
     }
 
     /** Fences the previous leader, then loads the stored state and takes over. */
@@ -257,10 +259,7 @@
      * @return milliseconds
      */
     public long jobsAgeMillis() {
-        long upToDateMillis = mJobsFollower.upToDateMillis();
-        return upToDateMillis == Long.MIN_VALUE
-                ? Long.MAX_VALUE
-                : mLoop.nowMillis() - upToDateMillis;
+        return mJobsFollower.ageMillis();
     }
 
     private void depose(String reason) {
@@ -283,7 +282,11 @@
         mProgress.remove(KEEP_ALIVE_KEY);
         restoreInterference(mProgress.remove(INTERFERENCE_KEY));
         for (Map.Entry<String, byte[]> entry : mProgress.entrySet()) {
-            inherited += inherit(entry.getKey(), entry.getValue());
+            try {
+                inherited += inherit(entry.getKey(), entry.getValue());
+            } catch (RuntimeException e) {
+                LogEvent.RECORD_SKIPPED.log(e, "progress of job " + entry.getKey());
+            }
         }
         mProgress = new HashMap<>();
         for (Job job : new ArrayList<>(mJobs.all())) {
@@ -297,7 +300,6 @@
         }
         mStatusListener.allPhasesReported();
         LogEvent.LEADER_READY.log(mEpoch, mJobs.all().size(), inherited, mWorkers.size());
-        mWorkers.all().forEach(WorkerSession::poll);
         tick();
     }
 
@@ -352,6 +354,7 @@
         }
         Run run = new Run(live.task(), live.attempt(), worker, "");
         run.state = Run.State.INHERITED;
+        run.resumed = true;
         attach(run);
         return true;
     }
@@ -384,11 +387,13 @@
         if (!mOpen) {
             return;
         }
+        // Scheduled first, so that an error in this tick does not end the checks of all workers.
+        mLoop.schedule(TICK_INTERVAL_MILLIS, this::tick);
         for (WorkerSession worker : new ArrayList<>(mWorkers.all())) {
-            if (worker.silent() && !worker.runs().isEmpty() && worker.leasesLapsed()) {
-                loseWorker(worker, "its leases have lapsed and it does not answer");
-            } else {
-                worker.repeatOrders();
+            try {
+                checkWorker(worker);
+            } catch (RuntimeException e) {
+                LogEvent.DUTY_FAILED.log(e, "session with worker " + worker.id());
             }
         }
         removeEndedJobs();
@@ -396,7 +401,14 @@
             commit();
         }
         runPlacementPass();
-        mLoop.schedule(TICK_INTERVAL_MILLIS, this::tick);
+    }
+
+    private void checkWorker(WorkerSession worker) {
+        if (worker.silent() && !worker.runs().isEmpty() && worker.leasesLapsed()) {
+            loseWorker(worker, "its leases have lapsed and it does not answer");
+        } else {
+            worker.repeatOrders();
+        }
     }
 
     private void loseWorker(WorkerSession worker, String reason) {
@@ -632,6 +644,9 @@
         Run run = task.run;
         boolean current = run != null && run.worker == worker && run.attempt == end.attempt();
         if (current && run != null) {
+            if (end.kind() == WorkerControl.EndKind.DONE) {
+                mSlowRunDetector.runDone(run);
+            }
             detach(run);
         }
         if (!end.checkpoint().isEmpty() && !task.done) {
@@ -725,6 +740,13 @@
                 worker.stop(run);
             }
         }
+        for (Run run :
+                mSlowRunDetector.observe(
+                        worker, slow -> mScheduler.hasHealthyPlacement(slow, mWorkers.all()))) {
+            LogEvent.SLOW_RUN_MOVED.log(run, run.reportedProgressPercent);
+            run.task.moveCount++;
+            worker.stop(run);
+        }
     }
 
     /**
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
@@ -71,7 +71,7 @@
         if (format != FORMAT) {
             throw reader.malformed("progress format " + format + " is not known");
         }
-        job.phase = JobPhase.values()[reader.int32()];
+        job.phase = reader.constant(JobPhase.values());
         job.committedPhase = job.phase;
         List<LiveRun> live = new ArrayList<>();
         int count = reader.array();
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -1,5 +1,7 @@
 package org.hornbeamward.dispatch.lead;
 
+import org.hornbeamward.dispatch.decide.RunSpeed;
+
 /** One start of a task on a worker, from its placement until it is certainly gone. */
 final class Run {
     /** What the leader knows about a run. */
@@ -57,6 +59,21 @@
      */
     public long targetMissedSinceMillis = Long.MAX_VALUE;
 
+    /** Value of a monotonic time that has not been set. */
+    static final long NEVER = Long.MIN_VALUE;
+
+    /** Whether the run continues from a checkpoint or was started by a previous leader. */
+    public boolean resumed;
+
+    /** Monotonic time of the last report that counted towards {@link #workedMillis}. */
+    public long observedMillis = NEVER;
+
+    /** Time during which the run had the processors that it requests. */
+    public long workedMillis;
+
+    /** Progress in percent at the beginning of {@link #workedMillis}. */
+    public int firstPercent;
+
     /** Share of the work that is done, in percent, as the worker reported it. */
     public int reportedProgressPercent;
 
@@ -70,6 +87,12 @@
         this.ticket = ticket;
     }
 
+    /** Returns the progress since the run was first observed. */
+    RunSpeed.Progress progress() {
+        return new RunSpeed.Progress(
+                workedMillis, reportedProgressPercent - firstPercent, reportedProgressPercent);
+    }
+
     @Override
     public String toString() {
         return task.name + " attempt " + attempt + " on " + worker.id();
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -190,11 +190,8 @@
                 (long) (queue.slackFactor() * criticalPathMillis) + queue.objectiveMillis();
         long releaseWallMillis = job.submission.acceptedWallMillis();
         if (job.spec().timed()) {
-            releaseWallMillis = Math.max(releaseWallMillis, job.spec().firstDueWallMillis());
-            while (releaseWallMillis + job.spec().intervalMillis() < nowWallMillis
-                    && job.spec().intervalMillis() > 0) {
-                releaseWallMillis += job.spec().intervalMillis();
-            }
+            releaseWallMillis =
+                    Math.max(releaseWallMillis, job.spec().newestDueWallMillis(nowWallMillis));
         }
         return new JobOrder.SortKey(
                 queue.priority(),
@@ -343,6 +340,19 @@
                         * mFillerController.neighbors(others).interference(spec);
     }
 
+    /**
+     * Returns whether a worker that is not suspected has room for the task of a slow run.
+     *
+     * @param run run on a slow worker
+     * @param workers all workers
+     */
+    boolean hasHealthyPlacement(Run run, Collection<WorkerSession> workers) {
+        Pass pass = newPass(workers);
+        pass.mUsableWorkers.remove(run.worker);
+        Run moved = placeTask(pass, run.task, run.attempt + 1, "", 0);
+        return moved != null && moved.worker.suspicion() == 0;
+    }
+
     private static String rackFor(Step step) {
         if (!step.spec.dataRack().isEmpty()) {
             return step.spec.dataRack();
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Step.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Step.java
@@ -1,5 +1,7 @@
 package org.hornbeamward.dispatch.lead;
 
+import java.util.Arrays;
+import org.hornbeamward.dispatch.decide.RunSpeed;
 import org.hornbeamward.dispatch.job.StepSpec;
 import org.hornbeamward.dispatch.job.TaskName;
 
@@ -12,18 +14,37 @@
     public final Task[] tasks;
     public int doneCount;
 
+    /**
+     * Duration of every task, measured or projected from its progress; 0 if it is not known. It is
+     * not stored, so a new leader starts without it.
+     */
+    public final long[] projectedMillis;
+
     Step(Job job, int occurrence, int number) {
         this.job = job;
         this.occurrence = occurrence;
         this.number = number;
         spec = job.submission.spec().steps().get(number);
         tasks = new Task[spec.taskCount()];
+        projectedMillis = new long[tasks.length];
         for (int index = 0; index < tasks.length; index++) {
             tasks[index] =
                     new Task(this, new TaskName(job.submission.job(), occurrence, number, index));
         }
     }
 
+    /** Returns the usual duration of the other tasks of the step; 0 if it is not known. */
+    long usualMillis(Task task) {
+        long[] others = new long[projectedMillis.length];
+        int count = 0;
+        for (int index = 0; index < projectedMillis.length; index++) {
+            if (index != task.name.index() && projectedMillis[index] > 0) {
+                others[count++] = projectedMillis[index];
+            }
+        }
+        return RunSpeed.usualMillis(Arrays.copyOf(others, count));
+    }
+
     boolean done() {
         return doneCount == tasks.length;
     }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -5,8 +5,14 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.hornbeamward.dispatch.decide.RunSpeed;
 import org.hornbeamward.dispatch.job.StepSpec;
 import org.hornbeamward.dispatch.job.TaskName;
 import org.hornbeamward.dispatch.port.Loop;
@@ -70,9 +76,29 @@
      */
     private static final int NO_RENEWAL_POLL_COUNT = 2;
 
+    /** How long a worker is avoided after its runs were last seen to be slow. */
+    private static final long SLOW_AVOIDED_MILLIS = 3_000;
+
+    /**
+     * How long after that a worker is used only if no other has room, unless a run has advanced at
+     * the usual speed meanwhile.
+     */
+    private static final long SLOW_PROBATION_MILLIS = 12_000;
+
+    /** Suspicion of a worker that was slow and has not proved to be healthy again. */
+    private static final double PROBATION_SUSPICION = 0.25;
+
+    /** How long the speed of a run counts after it was last observed. */
+    private static final long SPEED_SAMPLE_MILLIS = 3_000;
+
+    private static final long NEVER_SLOW = Long.MIN_VALUE / 2;
+
     /** Lowest pace at which a filler's CPU is counted, since a paused filler will resume later. */
     private static final int MIN_ASSUMED_PACE_PERCENT = 40;
 
+    /** The relative speed of a run and the monotonic time of its observation. */
+    private record SpeedSample(double speed, long atMillis) {}
+
     /** Receives the events of the worker. */
     interface Supervisor {
         /** Returns the fencing token that every order carries. */
@@ -132,6 +158,8 @@
     /** Number of failed runs since the last completed one. */
     public int failureStreak;
 
+    private final Map<TaskName, SpeedSample> mSpeeds = new LinkedHashMap<>();
+    private long mSlowMillis = NEVER_SLOW;
     private boolean mClosed;
     private boolean mPollInFlight;
     private boolean mAcknowledgePollScheduled;
@@ -196,8 +224,44 @@
         return mUsage.longRunningCpuMillicores();
     }
 
+    /** Returns how strongly the worker is suspected: 0 for a healthy one, 1 for one to avoid. */
     double suspicion() {
-        return Math.min(1.0, failureStreak / 4.0);
+        return Math.max(Math.min(1.0, failureStreak / 4.0), slowness());
+    }
+
+    private double slowness() {
+        long sinceMillis = mLoop.nowMillis() - mSlowMillis;
+        if (sinceMillis < SLOW_AVOIDED_MILLIS) {
+            return 1.0;
+        }
+        return sinceMillis < SLOW_PROBATION_MILLIS ? PROBATION_SUSPICION : 0;
+    }
+
+    /**
+     * Notes the speed of a run on this worker, relative to the other runs of its step, and updates
+     * whether the worker is slow.
+     */
+    void noteSpeed(Run run, double relativeSpeed) {
+        long now = mLoop.nowMillis();
+        mSpeeds.put(run.task.name, new SpeedSample(relativeSpeed, now));
+        mSpeeds.values().removeIf(sample -> now - sample.atMillis() > SPEED_SAMPLE_MILLIS);
+        if (RunSpeed.isSlowWorker(mSpeeds.values().stream().map(SpeedSample::speed).toList())) {
+            mSlowMillis = now;
+        } else if (RunSpeed.isNormal(relativeSpeed) && now - mSlowMillis >= SLOW_AVOIDED_MILLIS) {
+            mSlowMillis = NEVER_SLOW;
+        }
+    }
+
+    /** Returns whether runs on this worker advance much more slowly than elsewhere. */
+    boolean isSlow() {
+        return mLoop.nowMillis() - mSlowMillis < SLOW_AVOIDED_MILLIS;
+    }
+
+    /** Describes the recent relative speeds of runs. */
+    String describeSpeeds() {
+        return mSpeeds.values().stream()
+                .map(sample -> String.format(Locale.ROOT, "%.2f", sample.speed()))
+                .collect(Collectors.joining(" "));
     }
 
     Collection<Run> runs() {
@@ -270,10 +334,31 @@
                         mSupervisor.fencingToken(),
                         run.task.checkpoint,
                         run.ticket);
-        mControl.start(mEntry, order, ANSWER_TIMEOUT_MILLIS)
+        guarded(
+                        () -> mControl.start(mEntry, order, ANSWER_TIMEOUT_MILLIS),
+                        OrderOutcome.Unknown::new)
                 .thenAccept(outcome -> startAnswered(run, outcome));
     }
 
+    /**
+     * Sends a call; an unexpected error counts as a call without an answer. Otherwise the run or
+     * the poll would stay in flight for ever.
+     */
+    private <T> CompletableFuture<T> guarded(
+            Supplier<CompletableFuture<T>> call, Function<String, T> failure) {
+        CompletableFuture<T> answer;
+        try {
+            answer = call.get();
+        } catch (RuntimeException e) {
+            answer = CompletableFuture.failedFuture(e);
+        }
+        return answer.exceptionally(
+                error -> {
+                    LogEvent.DUTY_FAILED.log(error, "call to worker " + mId);
+                    return failure.apply(error.toString());
+                });
+    }
+
     private void startAnswered(Run run, OrderOutcome outcome) {
         mSupervisor.startAnswered(this, outcome.getClass().getSimpleName());
         if (mClosed || mRuns.get(run.task.name) != run) {
@@ -342,12 +427,15 @@
             return;
         }
         run.stopInFlight = true;
-        mControl.stop(
-                        mEntry,
-                        run.task.name,
-                        run.attempt,
-                        mSupervisor.fencingToken(),
-                        ANSWER_TIMEOUT_MILLIS)
+        guarded(
+                        () ->
+                                mControl.stop(
+                                        mEntry,
+                                        run.task.name,
+                                        run.attempt,
+                                        mSupervisor.fencingToken(),
+                                        ANSWER_TIMEOUT_MILLIS),
+                        OrderOutcome.Unknown::new)
                 .thenAccept(outcome -> stopAnswered(run, outcome));
     }
 
@@ -385,13 +473,16 @@
         }
         run.paceInFlight = true;
         LogEvent.RUN_PACED.log(run, run.pacePercent, percent);
-        mControl.pace(
-                        mEntry,
-                        run.task.name,
-                        run.attempt,
-                        percent,
-                        mSupervisor.fencingToken(),
-                        ANSWER_TIMEOUT_MILLIS)
+        guarded(
+                        () ->
+                                mControl.pace(
+                                        mEntry,
+                                        run.task.name,
+                                        run.attempt,
+                                        percent,
+                                        mSupervisor.fencingToken(),
+                                        ANSWER_TIMEOUT_MILLIS),
+                        OrderOutcome.Unknown::new)
                 .thenAccept(
                         outcome -> {
                             run.paceInFlight = false;
@@ -473,13 +564,16 @@
                         ? 0
                         : shared ? SHARED_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
         long acknowledged = mStoredEndNumber;
-        mControl.poll(
-                        mEntry,
-                        deadlineClockMillis,
-                        mSupervisor.fencingToken(),
-                        acknowledged,
-                        waitMillis,
-                        waitMillis + ANSWER_TIMEOUT_MILLIS)
+        guarded(
+                        () ->
+                                mControl.poll(
+                                        mEntry,
+                                        deadlineClockMillis,
+                                        mSupervisor.fencingToken(),
+                                        acknowledged,
+                                        waitMillis,
+                                        waitMillis + ANSWER_TIMEOUT_MILLIS),
+                        PollOutcome.Failed::new)
                 .thenAccept(outcome -> pollAnswered(outcome, sentMillis, acknowledged));
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/KeyedRecord.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/KeyedRecord.java
@@ -8,4 +8,14 @@
  * @param key key in the topic
  * @param value value of the key; null removes the key
  */
-public record KeyedRecord(String key, byte @Nullable [] value) {}
+public record KeyedRecord(String key, byte @Nullable [] value) {
+    /**
+     * Returns the size of the record.
+     *
+     * @return bytes of the key, which has only ASCII characters, and of the value
+     */
+    public int byteCount() {
+        byte[] bytes = value;
+        return key.length() + (bytes == null ? 0 : bytes.length);
+    }
+}
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/Store.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/Store.java
@@ -1,5 +1,6 @@
 package org.hornbeamward.dispatch.port;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 
@@ -8,6 +9,35 @@
  * complete exceptionally; errors are returned as values. They complete on the event loop.
  */
 public interface Store {
+    /**
+     * Largest total size of the values and keys of one append in bytes; half of what the store
+     * takes in one call.
+     */
+    int MAX_APPEND_BYTES = 1024 * 1024;
+
+    /**
+     * Splits records into batches that the store takes in one call each.
+     *
+     * @param records records in the order in which they are to be appended
+     * @return at least one batch; the concatenated batches are the records
+     */
+    static List<List<KeyedRecord>> splitForAppend(List<KeyedRecord> records) {
+        List<List<KeyedRecord>> batches = new ArrayList<>();
+        List<KeyedRecord> batch = new ArrayList<>();
+        int byteCount = 0;
+        for (KeyedRecord record : records) {
+            if (!batch.isEmpty() && byteCount + record.byteCount() > MAX_APPEND_BYTES) {
+                batches.add(batch);
+                batch = new ArrayList<>();
+                byteCount = 0;
+            }
+            batch.add(record);
+            byteCount += record.byteCount();
+        }
+        batches.add(batch);
+        return batches;
+    }
+
     /** The condition under which an append takes effect. */
     sealed interface Condition {
         /** No condition. */
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/FencedWriter.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/FencedWriter.java
@@ -1,7 +1,7 @@
 package org.hornbeamward.dispatch.store;
 
-import java.util.ArrayList;
 import java.util.List;
+import org.hornbeamward.dispatch.port.ClockReading;
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Loop;
 import org.hornbeamward.dispatch.port.Store;
@@ -45,8 +45,7 @@
     private boolean mAvailable = true;
     private long mSequence;
     private long mRetryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
-    private long mConfirmedMonotonicMillis;
-    private long mConfirmedWallMillis;
+    private ClockReading mConfirmed;
     private long mEndOffset = -1;
 
     /**
@@ -73,8 +72,7 @@
         mEpoch = epoch;
         mListener = listener;
         // The epoch has just been confirmed by the election that it comes from.
-        mConfirmedMonotonicMillis = loop.nowMillis();
-        mConfirmedWallMillis = loop.wallMillis();
+        mConfirmed = ClockReading.now(loop);
     }
 
     /** Closes the writer; no callback runs afterwards. */
@@ -98,9 +96,7 @@
      *     which the machine was suspended counts
      */
     public long unconfirmedMillis() {
-        return Math.max(
-                mLoop.nowMillis() - mConfirmedMonotonicMillis,
-                mLoop.wallMillis() - mConfirmedWallMillis);
+        return mConfirmed.ageMillis(mLoop);
     }
 
     /**
@@ -115,7 +111,25 @@
             throw new IllegalStateException("an append is already in progress");
         }
         mBusy = true;
-        send(new ArrayList<>(records), committed);
+        appendFrom(0, Store.splitForAppend(records), committed);
+    }
+
+    /**
+     * Appends the remaining batches one after the other. The records of one moment exceed a single
+     * call after a loss of all workers or instances, when every job has changed.
+     */
+    private void appendFrom(int index, List<List<KeyedRecord>> batches, Runnable committed) {
+        boolean last = index == batches.size() - 1;
+        send(
+                batches.get(index),
+                () -> {
+                    if (last) {
+                        mBusy = false;
+                        committed.run();
+                    } else {
+                        appendFrom(index + 1, batches, committed);
+                    }
+                });
     }
 
     /**
@@ -131,8 +145,7 @@
         if (!mActive) {
             return;
         }
-        long monotonicMillis = mLoop.nowMillis();
-        long wallMillis = mLoop.wallMillis();
+        ClockReading sent = ClockReading.now(mLoop);
         mStore.append(
                         mTopic,
                         records,
@@ -141,8 +154,7 @@
                 .thenAccept(
                         outcome -> {
                             if (mActive) {
-                                appendAnswered(
-                                        outcome, records, committed, monotonicMillis, wallMillis);
+                                appendAnswered(outcome, records, committed, sent);
                             }
                         });
     }
@@ -151,12 +163,10 @@
             AppendOutcome outcome,
             List<KeyedRecord> records,
             Runnable committed,
-            long monotonicMillis,
-            long wallMillis) {
+            ClockReading sent) {
         switch (outcome) {
             case AppendOutcome.Appended appended -> {
-                mConfirmedMonotonicMillis = monotonicMillis;
-                mConfirmedWallMillis = wallMillis;
+                mConfirmed = sent;
                 if (!records.isEmpty()) {
                     mEndOffset = appended.offset() + records.size();
                 }
@@ -186,7 +196,6 @@
         if (!records.isEmpty()) {
             mSequence++;
         }
-        mBusy = false;
         committed.run();
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/TopicFollower.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/TopicFollower.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.hornbeamward.dispatch.port.ClockReading;
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Loop;
 import org.hornbeamward.dispatch.port.Store;
@@ -57,7 +58,7 @@
     private boolean mLoaded;
     private boolean mAvailable = true;
     private long mNextOffset;
-    private long mUpToDateMillis = Long.MIN_VALUE;
+    private @Nullable ClockReading mUpToDate;
     private long mAvailableSinceMillis = Long.MAX_VALUE;
     private long mAnsweredMillis = Long.MIN_VALUE;
     private @Nullable Map<String, byte[]> mLoadedPages;
@@ -118,12 +119,14 @@
     }
 
     /**
-     * Returns the time up to which the content of the topic is known.
+     * Returns the age of the content of the topic.
      *
-     * @return monotonic milliseconds; {@code Long.MIN_VALUE} before the first answer
+     * @return milliseconds, including time in which the machine was suspended; {@code
+     *     Long.MAX_VALUE} before the first answer
      */
-    public long upToDateMillis() {
-        return mUpToDateMillis;
+    public long ageMillis() {
+        ClockReading upToDate = mUpToDate;
+        return upToDate == null ? Long.MAX_VALUE : upToDate.ageMillis(mLoop);
     }
 
     /**
@@ -146,17 +149,17 @@
     }
 
     private void loadPage(String afterKey) {
-        long sentMillis = mLoop.nowMillis();
+        ClockReading sent = ClockReading.now(mLoop);
         mStore.newest(mTopic, afterKey, PAGE_TIMEOUT_MILLIS)
                 .thenAccept(
                         outcome -> {
                             if (mRunning) {
-                                pageReceived(outcome, afterKey, sentMillis);
+                                pageReceived(outcome, afterKey, sent);
                             }
                         });
     }
 
-    private void pageReceived(NewestOutcome outcome, String afterKey, long sentMillis) {
+    private void pageReceived(NewestOutcome outcome, String afterKey, ClockReading sent) {
         switch (outcome) {
             case NewestOutcome.Unavailable unavailable ->
                     retry(unavailable.reason(), () -> loadPage(afterKey));
@@ -168,7 +171,7 @@
                     // The pages are not a consistent snapshot, so changes are read from the end
                     // offset of the first page on.
                     mNextOffset = page.endOffset();
-                    mUpToDateMillis = sentMillis;
+                    mUpToDate = sent;
                 }
                 String last = afterKey;
                 for (KeyedRecord record : page.records()) {
@@ -184,7 +187,8 @@
                 } else {
                     mLoadedPages = null;
                     mLoaded = true;
-                    mListener.loaded(loadedPages);
+                    Map<String, byte[]> newest = loadedPages;
+                    deliver(() -> mListener.loaded(newest));
                     read();
                 }
             }
@@ -195,24 +199,24 @@
         if (!mRunning) {
             return;
         }
-        long sentMillis = mLoop.nowMillis();
+        ClockReading sent = ClockReading.now(mLoop);
         mStore.read(mTopic, mNextOffset, mWaitMillis, mWaitMillis + ANSWER_TIMEOUT_MILLIS)
                 .thenAccept(
                         outcome -> {
                             if (mRunning) {
-                                recordsReceived(outcome, sentMillis);
+                                recordsReceived(outcome, sent);
                             }
                         });
     }
 
-    private void recordsReceived(ReadOutcome outcome, long sentMillis) {
+    private void recordsReceived(ReadOutcome outcome, ClockReading sent) {
         switch (outcome) {
             case ReadOutcome.Records records -> {
                 noteAnswer();
-                mUpToDateMillis = sentMillis;
+                mUpToDate = sent;
                 if (!records.records().isEmpty()) {
                     mNextOffset += records.records().size();
-                    mListener.changed(records.records());
+                    deliver(() -> mListener.changed(records.records()));
                 }
                 if (mPauseMillis > 0) {
                     mLoop.schedule(mPauseMillis, this::read);
@@ -228,6 +232,18 @@
         }
     }
 
+    /**
+     * Calls the listener. If it fails, reading goes on; otherwise one record that it cannot handle
+     * would stop this and every later process from following the topic.
+     */
+    private void deliver(Runnable delivery) {
+        try {
+            delivery.run();
+        } catch (RuntimeException e) {
+            LogEvent.DUTY_FAILED.log(e, "follower of topic " + mTopic);
+        }
+    }
+
     private void retry(String reason, Runnable operation) {
         mAvailableSinceMillis = Long.MAX_VALUE;
         if (mAvailable) {
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -106,6 +106,10 @@
     RUN_PACED(520, Level.INFO, "run {} is paced from {} to {} percent"),
     /** A filler is stopped to resume on another worker. */
     FILLER_MOVED(522, Level.INFO, "run {} at {} percent is stopped to resume elsewhere"),
+    /** Runs on a worker advance much more slowly than the other runs of their steps. */
+    WORKER_SLOW(523, Level.WARN, "worker {} is slow; its runs advance at {} of the usual speed"),
+    /** A run on a slow worker is stopped so that it starts on another worker. */
+    SLOW_RUN_MOVED(524, Level.INFO, "slow run {} at {} percent is stopped to start elsewhere"),
     /** Ended jobs are removed from the store. */
     JOBS_FORGOTTEN(521, Level.INFO, "{} ended jobs are removed from the store: {}"),
     /** An instance list cannot be used and was ignored. */
