Accept a submission that the leader has read though its answer is lost

Change: a report of the leader completes the pending request, and the append is not repeated. Ruled out: retrying the append for longer; each attempt costs 0.5 s.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
@@ -20,6 +20,8 @@
 import org.hornbeamward.dispatch.fake.FakeStore;
 import org.hornbeamward.dispatch.fake.FakeWorkers;
 import org.hornbeamward.dispatch.fake.VirtualLoop;
+import org.hornbeamward.dispatch.job.JobPhase;
+import org.hornbeamward.dispatch.job.JobSpec;
 import org.hornbeamward.dispatch.lead.DispatchLimits;
 import org.hornbeamward.dispatch.port.Documents;
 import org.hornbeamward.dispatch.port.KeyedRecord;
@@ -166,4 +168,28 @@
 
         assertEquals(11, mNode.config().orElseThrow().version());
     }
+
+    /**
+     * Guards against a caller that waits for its timeout, or is told that the outcome is unknown,
+     * although the leader has reported the job whose append got no answer.
+     */
+    @Test
+    void aSubmissionWhoseAnswerIsLostIsAcceptedOnceTheLeaderReportsIt() {
+        mStore.loseAnswerCount = 100;
+        CompletableFuture<EntryNode.SubmitOutcome> answer =
+                mNode.submit(
+                        QUEUE,
+                        JOB,
+                        new JobSpec("payload", List.of(), 0, 0, 0),
+                        mLoop.nowMillis() + 2_900);
+        mLoop.advance(50);
+        assertFalse(answer.isDone());
+
+        StatusTable.Row row = new StatusTable.Row(JOB, QUEUE.name(), JobPhase.QUEUED);
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Phases(false, false, List.of(row)));
+
+        assertInstanceOf(EntryNode.SubmitOutcome.Accepted.class, answer.join());
+        mLoop.advance(1_200);
+        assertEquals(1, mStore.records(Topic.JOBS).size());
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -450,6 +450,12 @@
         }
     }
 
+    private void recordPhase(StatusTable.Row row) {
+        mStatus.put(row);
+        mLocallyAcceptedJobs.remove(row.job());
+        mJobsWriter.confirmStored(JobKeys.submission(row.job()));
+    }
+
     private void flushRows() {
         if (!mUnsentRows.isEmpty()) {
             mFeedServer.broadcast(new FeedMessage.Phases(false, false, mUnsentRows));
@@ -517,8 +523,7 @@
                 mStatus.clear();
             }
             StatusTable.Row row = new StatusTable.Row(job, queue, phase);
-            mStatus.put(row);
-            mLocallyAcceptedJobs.remove(job);
+            recordPhase(row);
             if (mStatusComplete) {
                 if (mUnsentRows.isEmpty()) {
                     mLoop.schedule(0, EntryNode.this::flushRows);
@@ -583,8 +588,7 @@
                 mStatusComplete = true;
             }
             for (StatusTable.Row row : phases.rows()) {
-                mStatus.put(row);
-                mLocallyAcceptedJobs.remove(row.job());
+                recordPhase(row);
             }
         }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/JobsWriter.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/JobsWriter.java
@@ -75,6 +75,7 @@
     private final Loop mLoop;
     private final Store mStore;
     private final List<PendingRecord> mPending = new ArrayList<>();
+    private List<PendingRecord> mInFlight = List.of();
 
     /**
      * Keys whose last append got no answer, with the monotonic time after which that append can no
@@ -120,6 +121,7 @@
         }
         mBusy = true;
         List<PendingRecord> batch = takeBatch();
+        mInFlight = batch;
         mStore.append(
                         Topic.JOBS,
                         batch.stream().map(pending -> pending.mRecord).toList(),
@@ -128,6 +130,23 @@
                 .thenAccept(outcome -> appendAnswered(batch, outcome));
     }
 
+    /**
+     * Completes the requests for a record that the leader has read, and so is stored although the
+     * answer of the append may be lost.
+     *
+     * @param key key of the record
+     */
+    void confirmStored(String key) {
+        mUnansweredUntilMillis.remove(key);
+        for (List<PendingRecord> records : List.of(mInFlight, List.copyOf(mPending))) {
+            for (PendingRecord pending : records) {
+                if (pending.mRecord.key().equals(key)) {
+                    pending.mOutcome.complete(new Outcome.Stored());
+                }
+            }
+        }
+    }
+
     /** Removes and returns the pending records that fit into one call; at least one. */
     private List<PendingRecord> takeBatch() {
         int count =
@@ -150,6 +169,7 @@
     }
 
     private void appendAnswered(List<PendingRecord> batch, AppendOutcome outcome) {
+        mInFlight = List.of();
         boolean stored = outcome instanceof AppendOutcome.Appended;
         updateAvailable(stored, outcome);
         if (stored) {
@@ -160,16 +180,18 @@
             return;
         }
         boolean possiblyStored = outcome instanceof AppendOutcome.Unknown;
+        // Records that the leader has confirmed meanwhile need no further append.
+        List<PendingRecord> open =
+                batch.stream().filter(pending -> !pending.mOutcome.isDone()).toList();
         if (possiblyStored) {
             long untilMillis = mLoop.nowMillis() + LATE_APPEND_MILLIS;
-            batch.forEach(
-                    pending -> mUnansweredUntilMillis.put(pending.mRecord.key(), untilMillis));
+            open.forEach(pending -> mUnansweredUntilMillis.put(pending.mRecord.key(), untilMillis));
         }
         for (PendingRecord unsent : mPending) {
             unsent.mOutcome.complete(notStored(unsent.mRecord, "not sent: " + outcome));
         }
         mPending.clear();
-        for (PendingRecord pending : batch) {
+        for (PendingRecord pending : open) {
             pending.mPossiblyStored |= possiblyStored;
             if (!completeIfExpired(pending, outcome)) {
                 mPending.add(pending);
