Show a job as running only once a worker has started a task of it

A job was shown as running when a placement was committed; right after a takeover with few processors the orders of a whole pass leave over hundreds of milliseconds, and orders without an answer may never be carried out. Ruled out: an old table (the answering entry led and had just loaded). Change: the phase changes when a worker confirms or ends a run; whether a task was ever placed is a field of its own.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/SlowWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/SlowWorkerTest.java
@@ -120,4 +120,31 @@
         assertTrue(mFixture.mWorkers.get("w3").started.isEmpty());
         assertEquals(9, mFixture.startedCount());
     }
+
+    /**
+     * Guards against a job that is shown as running, and so is missing from the count of waiting
+     * jobs, while its start orders get no answer.
+     */
+    @Test
+    void aJobWaitsUntilAWorkerHasStartedATask() {
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(300);
+        for (String name : new String[] {"w1", "w2", "w3"}) {
+            worker(name).unreachable = true;
+        }
+        JobId job = mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(1_500);
+        assertEquals(JobPhase.QUEUED, mFixture.mPhases.get(job));
+
+        for (String name : new String[] {"w1", "w2", "w3"}) {
+            worker(name).unreachable = false;
+        }
+        mFixture.mLoop.advance(3_000);
+        JobId second = mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(300);
+
+        assertEquals(JobPhase.RUNNING, mFixture.mPhases.get(second));
+        mFixture.mLoop.advance(5_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -616,6 +616,7 @@
 
     @Override
     public void runConfirmed(Run run) {
+        noteStarted(run.task.step.job);
         if (run.stopping || run.task.step.job.terminal()) {
             run.worker.stop(run);
         } else if (run.task.step.spec.filler()) {
@@ -623,6 +624,17 @@
         }
     }
 
+    /**
+     * Shows a job as running once a worker has started one of its tasks. A start order without an
+     * answer may never be carried out, and callers count such a job as waiting.
+     */
+    private void noteStarted(Job job) {
+        if (job.phase == JobPhase.QUEUED) {
+            job.phase = JobPhase.RUNNING;
+            mJobs.markChanged(job);
+        }
+    }
+
     @Override
     public void runGone(Run run, String reason) {
         LogEvent.RUN_GONE.log(run, reason);
@@ -641,6 +653,7 @@
         if (job == null || task == null) {
             return;
         }
+        noteStarted(job);
         Run run = task.run;
         boolean current = run != null && run.worker == worker && run.attempt == end.attempt();
         if (current && run != null) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Job.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Job.java
@@ -19,8 +19,8 @@
     /** Phase that is committed to the store; only this one is reported to callers. */
     public JobPhase committedPhase = JobPhase.QUEUED;
 
-    /** Whether the progress differs from the stored progress. */
-    public boolean changed;
+    /** Whether a task has ever been placed, which does not mean that a worker has started it. */
+    public boolean placed;
 
     /** Number of runs that may be present on workers. */
     public int liveRunCount;
@@ -49,7 +49,7 @@
 
     /** Returns whether the job is long-running and none of its tasks has ever been placed. */
     boolean isNewAndLongRunning() {
-        return phase == JobPhase.QUEUED && spec().longRunning();
+        return !placed && !terminal() && spec().longRunning();
     }
 
     /** Returns the steps of an occurrence, which are created on first use. */
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
@@ -75,6 +75,7 @@
         job.committedPhase = job.phase;
         List<LiveRun> live = new ArrayList<>();
         int count = reader.array();
+        job.placed = count > 0;
         for (int index = 0; index < count; index++) {
             readTask(job, reader, live);
         }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -14,7 +14,6 @@
 import org.hornbeamward.dispatch.decide.JobOrder.ImageGroup;
 import org.hornbeamward.dispatch.decide.Placement;
 import org.hornbeamward.dispatch.decide.Placement.Demand;
-import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.dispatch.job.StepSpec;
 import org.hornbeamward.dispatch.port.Loop;
 import org.hornbeamward.lib.FailureDomainId;
@@ -282,10 +281,7 @@
     private void addRun(Pass pass, Run run) {
         pass.mRuns.add(run);
         pass.candidate(run.worker).add(run);
-        Job job = run.task.step.job;
-        if (job.phase == JobPhase.QUEUED) {
-            job.phase = JobPhase.RUNNING;
-        }
+        run.task.step.job.placed = true;
     }
 
     private @Nullable Run placeTask(
