--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
@@ -15,6 +15,9 @@
 public final class FakeStore implements Store {
     private static final long ANSWER_MILLIS = 8;
 
+    /** Largest size of one append; the platform's setting {@code call_bytes}. */
+    private static final int MAX_CALL_BYTES = 2 * 1024 * 1024;
+
     private final Loop mLoop;
     private final Map<Topic, List<KeyedRecord>> mTopics = new EnumMap<>(Topic.class);
     private final Map<Topic, Integer> mEarliestOffsets = new EnumMap<>(Topic.class);
@@ -75,6 +78,9 @@
         if (down) {
             return completeLater(ANSWER_MILLIS, new AppendOutcome.Refused("down"));
         }
+        if (records.stream().mapToInt(KeyedRecord::byteCount).sum() > MAX_CALL_BYTES) {
+            return completeLater(ANSWER_MILLIS, new AppendOutcome.Refused("the call is too large"));
+        }
         AppendOutcome outcome = apply(topic, records, condition);
         if (loseAnswerCount > 0) {
             loseAnswerCount--;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -290,6 +290,8 @@
                 + mFailedPollCount
                 + " failureStreak="
                 + failureStreak
+                + " slow="
+                + isSlow()
                 + " free="
                 + free()
                 + " runs="
