--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/FillerController.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/FillerController.java
@@ -32,9 +32,6 @@
     /** Progress of a task without checkpoints below which a move loses little work. */
     private static final int LITTLE_PROGRESS_PERCENT = 20;
 
-    /** Largest number of moves of one task; each costs a stop, a start and the time to resume. */
-    private static final int MAX_MOVE_COUNT = 3;
-
     private final Loop mLoop;
     private final InterferenceModel mModel = new InterferenceModel();
     private final Map<Step, ServingGroup> mGroups = new WeakHashMap<>();
@@ -164,7 +161,7 @@
             boolean losesLittle =
                     run.task.step.spec.checkpointing()
                             || run.reportedProgressPercent < LITTLE_PROGRESS_PERCENT;
-            if (slow && losesLittle && !run.stopping && run.task.moveCount < MAX_MOVE_COUNT) {
+            if (slow && losesLittle && !run.stopping && run.task.moveCount < Task.MAX_MOVE_COUNT) {
                 movable.add(run);
             }
         }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/SlowRunDetector.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/SlowRunDetector.java
@@ -13,9 +13,6 @@
  * that another worker would complete sooner.
  */
 final class SlowRunDetector {
-    /** Largest number of moves of one task; each costs a stop and a start. */
-    private static final int MAX_MOVE_COUNT = 3;
-
     private final Loop mLoop;
 
     SlowRunDetector(Loop loop) {
@@ -67,7 +64,7 @@
             if (run.state == Run.State.PRESENT
                     && isMeasured(run)
                     && !run.stopping
-                    && run.task.moveCount < MAX_MOVE_COUNT
+                    && run.task.moveCount < Task.MAX_MOVE_COUNT
                     && isWorthMoving(run)
                     && isMovable.test(run)) {
                 moves.add(run);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
@@ -6,6 +6,9 @@
 
 /** A task of a step, and the state of its runs. */
 final class Task {
+    /** Largest number of moves of one task; each costs a stop, a start and the time to resume. */
+    static final int MAX_MOVE_COUNT = 3;
+
     public final Step step;
     public final TaskName name;
     public boolean done;
@@ -22,7 +25,7 @@
      */
     public long waitingSinceMillis = Long.MAX_VALUE;
 
-    /** Number of moves to another worker because serving tasks kept its pace low. */
+    /** Number of moves to another worker, away from serving tasks or from a slow worker. */
     public int moveCount;
 
     /** Worker on which a run failed last; null if none has failed. */
