Keep the review cases to loopback addresses

The search for free ports bound the wildcard address; it now binds the loopback addresses of the entries.

--- a/review/harness/Site.java
+++ b/review/harness/Site.java
@@ -29,9 +29,9 @@
     private final Random mRandom = new Random();
 
     Site(int entryCount) throws IOException {
-        int port = freePort();
+        int port = freePort(entryCount);
         for (int i = 0; i < entryCount; i++) {
-            String host = "127.0.0." + (2 + i);
+            String host = host(i);
             mEntries.add(
                     new Entry(
                             mFolder,
@@ -43,12 +43,17 @@
         }
     }
 
-    private static int freePort() throws IOException {
+    private static String host(int entry) {
+        return "127.0.0." + (2 + entry);
+    }
+
+    /** Returns the first of four ports that are free on the addresses of all entries. */
+    private static int freePort(int entryCount) throws IOException {
         for (int port = 20_000 + new Random().nextInt(8_000); port < 32_000; port += 20) {
             boolean free = true;
-            for (int offset = 0; offset < 4 && free; offset++) {
+            for (int i = 0; i < 4 * entryCount && free; i++) {
                 try (ServerSocket socket = new ServerSocket()) {
-                    socket.bind(new InetSocketAddress("0.0.0.0", port + offset));
+                    socket.bind(new InetSocketAddress(host(i / 4), port + i % 4));
                 } catch (IOException e) {
                     free = false;
                 }
