--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -26,6 +26,9 @@
  * documentation describes them.
  */
 public final class FakeWorker {
+    /** Longest lease that a worker accepts; it shortens longer ones. */
+    public static final long LONGEST_LEASE_MILLIS = 6_000;
+
     private final Loop mLoop;
     private final WorkerId mId;
     private final Resources mCapacity;
@@ -34,6 +37,7 @@
     private final Map<TaskName, Integer> mHighestEndedAttempts = new HashMap<>();
     private final List<EndReport> mUnacknowledgedEnds = new ArrayList<>();
     private long mIncarnationStartWallMillis;
+    private long mClockOriginMillis;
     private long mHighestToken;
     private long mLeaseDeadlineClockMillis;
     private long mLastEndNumber;
@@ -42,6 +46,15 @@
     /** Whether calls neither reach the worker nor get an answer. */
     public boolean unreachable;
 
+    /** Whether connections to the worker fail, so that calls are certainly not carried out. */
+    public boolean refusesConnections;
+
+    /** Whether another worker answers at the address of this one. */
+    public boolean addressTaken;
+
+    /** Whether the worker's entry says that it is about to leave. */
+    public boolean draining;
+
     /** Whether calls throw an unexpected exception instead of being sent. */
     public boolean callsThrow;
 
@@ -74,7 +87,10 @@
         mIncarnationStartWallMillis = loop.wallMillis();
     }
 
-    /** Restarts the worker as a new incarnation under its id; all runs and reports are lost. */
+    /**
+     * Restarts the worker as a new incarnation under its id and at its address; all runs and
+     * reports are lost. The entry in the registry stays as it is.
+     */
     public void restart() {
         mRunning.clear();
         mHighestEndedAttempts.clear();
@@ -84,6 +100,7 @@
         mLastEndNumber = 0;
         mAcknowledgedEnd = 0;
         mIncarnationStartWallMillis = mLoop.wallMillis();
+        mClockOriginMillis = mLoop.nowMillis();
     }
 
     /**
@@ -101,7 +118,7 @@
                 "rack",
                 Set.of("kind", "rack"),
                 mCapacity,
-                false,
+                draining,
                 0,
                 clockMillis());
     }
@@ -125,7 +142,13 @@
     }
 
     private long clockMillis() {
-        return mLoop.nowMillis() * 98 / 100;
+        return (mLoop.nowMillis() - mClockOriginMillis) * 98 / 100;
+    }
+
+    private void extendLeases(long deadlineClockMillis) {
+        long longestMillis = clockMillis() + LONGEST_LEASE_MILLIS;
+        mLeaseDeadlineClockMillis =
+                Math.max(mLeaseDeadlineClockMillis, Math.min(deadlineClockMillis, longestMillis));
     }
 
     /** Ends all runs if the lease has lapsed. */
@@ -152,8 +175,7 @@
             return new OrderOutcome.Rejected(Rejection.FENCED);
         }
         mHighestToken = order.fencingToken();
-        mLeaseDeadlineClockMillis =
-                Math.max(mLeaseDeadlineClockMillis, order.deadlineClockMillis());
+        extendLeases(order.deadlineClockMillis());
         if (clockMillis() > order.deadlineClockMillis()) {
             return new OrderOutcome.Rejected(Rejection.LATE);
         }
@@ -199,7 +221,7 @@
         }
         mHighestToken = token;
         if (deadlineClockMillis != null) {
-            mLeaseDeadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, deadlineClockMillis);
+            extendLeases(deadlineClockMillis);
         }
         mAcknowledgedEnd = Math.max(mAcknowledgedEnd, acknowledgedEnd);
         mUnacknowledgedEnds.removeIf(end -> end.number() <= mAcknowledgedEnd);
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
@@ -15,6 +15,9 @@
 public final class FakeWorkers implements WorkerControl {
     private static final long ANSWER_MILLIS = 3;
 
+    /** Time after which an attempt to connect is given up. */
+    private static final long CONNECT_MILLIS = 400;
+
     private final Loop mLoop;
     private final Map<String, FakeWorker> mWorkers = new LinkedHashMap<>();
 
@@ -30,6 +33,9 @@
     /** Largest number of start orders that waited for an answer at the same time. */
     public int maxStartsInFlightCount;
 
+    /** Number of polls. */
+    public int pollCount;
+
     private int mStartsInFlightCount;
 
     /**
@@ -59,18 +65,20 @@
             WorkerEntry entry,
             long timeoutMillis,
             T unreachableOutcome,
-            T otherIncarnationOutcome,
+            T notConnectedOutcome,
+            T addressTakenOutcome,
             Supplier<CompletableFuture<T>> action) {
         CompletableFuture<T> answer = new CompletableFuture<>();
         FakeWorker worker = get(entry.id().value());
         if (worker.callsThrow) {
             throw new IllegalArgumentException("port 99999 is out of range");
         }
-        if (worker.unreachable) {
+        if (worker.refusesConnections) {
+            mLoop.schedule(CONNECT_MILLIS, () -> answer.complete(notConnectedOutcome));
+        } else if (worker.unreachable) {
             mLoop.schedule(timeoutMillis, () -> answer.complete(unreachableOutcome));
-        } else if (worker.entry().incarnationStartWallMillis()
-                != entry.incarnationStartWallMillis()) {
-            mLoop.schedule(ANSWER_MILLIS, () -> answer.complete(otherIncarnationOutcome));
+        } else if (worker.addressTaken) {
+            mLoop.schedule(ANSWER_MILLIS, () -> answer.complete(addressTakenOutcome));
         } else {
             mLoop.schedule(ANSWER_MILLIS, () -> action.get().thenAccept(answer::complete));
         }
@@ -103,6 +111,7 @@
                 entry,
                 timeoutMillis,
                 new OrderOutcome.Unknown("unreachable"),
+                new OrderOutcome.NotDone("not connected"),
                 new OrderOutcome.OtherLife(),
                 () -> completed(worker.start(order)));
     }
@@ -114,6 +123,7 @@
                 entry,
                 timeoutMillis,
                 new OrderOutcome.Unknown("unreachable"),
+                new OrderOutcome.NotDone("not connected"),
                 new OrderOutcome.OtherLife(),
                 () -> completed(get(entry.id().value()).stop(task, attempt, token)));
     }
@@ -137,11 +147,13 @@
             long acknowledgedEnd,
             long waitMillis,
             long timeoutMillis) {
+        pollCount++;
         FakeWorker worker = get(entry.id().value());
         return call(
                 entry,
                 timeoutMillis,
                 new PollOutcome.Failed("unreachable"),
+                new PollOutcome.Failed("not connected"),
                 new PollOutcome.OtherLife(),
                 () -> {
                     PollOutcome first = worker.poll(deadlineClockMillis, token, acknowledgedEnd);
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
@@ -9,6 +9,7 @@
 import org.hornbeamward.dispatch.config.PoolConfig;
 import org.hornbeamward.dispatch.config.QueueConfig;
 import org.hornbeamward.dispatch.fake.FakeStore;
+import org.hornbeamward.dispatch.fake.FakeWorker;
 import org.hornbeamward.dispatch.fake.FakeWorkers;
 import org.hornbeamward.dispatch.fake.VirtualLoop;
 import org.hornbeamward.dispatch.job.JobPhase;
@@ -62,7 +63,7 @@
                             @Override
                             public void allPhasesReported() {}
                         },
-                        new DispatchLimits(6_000, 120_000, 1.0, 1_000),
+                        new DispatchLimits(FakeWorker.LONGEST_LEASE_MILLIS, 120_000, 1.0, 1_000),
                         new NodeMetrics(),
                         epoch,
                         reason -> {});
--- /dev/null
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -0,0 +1,164 @@
+package org.hornbeamward.dispatch.lead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.hornbeamward.dispatch.fake.FakeWorker;
+import org.hornbeamward.dispatch.job.JobPhase;
+import org.hornbeamward.lib.JobId;
+import org.junit.jupiter.api.Test;
+
+/** Workers that start again under their id, at the same address, before the leader knows of it. */
+class RestartedWorkerTest {
+    private static final String[] NAMES = {"w1", "w2"};
+
+    private final LeaderFixture mFixture = new LeaderFixture();
+
+    private FakeWorker worker(String name) {
+        return mFixture.mWorkers.get(name);
+    }
+
+    private void setTaskMillis(long millis) {
+        for (String name : NAMES) {
+            worker(name).taskMillis = millis;
+        }
+    }
+
+    private void restartAll() {
+        for (String name : NAMES) {
+            worker(name).restart();
+        }
+    }
+
+    private void publishEntries() {
+        for (String name : NAMES) {
+            mFixture.registerWorker(name);
+        }
+    }
+
+    /** Advances the clock and checks that no more tasks run than the job has. */
+    private void advanceAndExpectRunsAtMost(int count, long millis) {
+        for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
+            mFixture.mLoop.advance(10);
+            assertTrue(
+                    mFixture.runningCount() <= count,
+                    mFixture.runningCount() + " runs after " + passedMillis + " ms");
+        }
+    }
+
+    /**
+     * Guards against a second run of a task that a restarted worker has accepted before its new
+     * entry is read.
+     */
+    @Test
+    void aRunThatARestartedWorkerAcceptedIsNotStartedAgainWhenItsEntryIsRead() {
+        setTaskMillis(2_000);
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(300);
+        restartAll();
+        mFixture.mLoop.advance(50);
+        JobId job = mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(20);
+        publishEntries();
+        advanceAndExpectRunsAtMost(1, 4_000);
+        assertEquals(1, mFixture.startedCount());
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
+
+    /** Guards against the same when a poll answer shows the restart before the entry does. */
+    @Test
+    void aRunThatARestartedWorkerAcceptedIsNotStartedAgainWhenAPollShowsTheRestart() {
+        setTaskMillis(2_000);
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(300);
+        restartAll();
+        mFixture.mLoop.advance(50);
+        JobId job = mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        advanceAndExpectRunsAtMost(1, 4_000);
+        assertEquals(1, mFixture.startedCount());
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
+
+    /**
+     * Guards against a new leader that gives up a run because its worker has restarted since the
+     * previous leader placed it, although the restarted worker has accepted it.
+     */
+    @Test
+    void aNewLeaderKeepsARunThatARestartedWorkerAccepted() {
+        setTaskMillis(2_000);
+        Dispatcher first = mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(300);
+        restartAll();
+        mFixture.mLoop.advance(50);
+        JobId job = mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(40);
+        assertEquals(1, mFixture.startedCount());
+        first.close();
+        publishEntries();
+        mFixture.startDispatcher(2);
+        advanceAndExpectRunsAtMost(1, 4_000);
+        assertEquals(1, mFixture.startedCount());
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
+
+    /**
+     * Guards against a start order without an answer that a restarted worker carries out after the
+     * task was started elsewhere. The order's deadline is a time on the clock of the ended
+     * incarnation and does not rule that out.
+     */
+    @Test
+    void aStartThatARestartedWorkerCarriesOutLateRunsOnlyOnce() {
+        setTaskMillis(6_000);
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(10_000);
+        for (String name : NAMES) {
+            worker(name).startDelayMillis = 3_500;
+        }
+        JobId job = mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        for (String name : NAMES) {
+            worker(name).startDelayMillis = 0;
+        }
+        restartAll();
+        worker("w1").draining = true;
+        mFixture.mLoop.advance(50);
+        publishEntries();
+        advanceAndExpectRunsAtMost(1, 9_000);
+        assertEquals(1, worker("w2").started.size());
+        assertEquals(1, mFixture.startedCount());
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
+
+    /**
+     * Guards against runs that are kept although they ended with an incarnation of their worker.
+     */
+    @Test
+    void runsThatThePreviousIncarnationListedAreStartedAgainAtOnce() {
+        setTaskMillis(1_000);
+        mFixture.startDispatcher(1);
+        JobId job = mFixture.submit("job", LeaderFixture.step(2, 1_000));
+        mFixture.mLoop.advance(400);
+        assertEquals(2, mFixture.runningCount());
+        restartAll();
+        publishEntries();
+        mFixture.mLoop.advance(1_000);
+        assertEquals(2, mFixture.runningCount());
+        mFixture.mLoop.advance(1_500);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
+
+    /** Guards against tasks that wait for a worker whose address another worker has taken. */
+    @Test
+    void tasksOfAWorkerWhoseAddressIsTakenStartElsewhere() {
+        setTaskMillis(1_000);
+        mFixture.startDispatcher(1);
+        JobId job = mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(300);
+        FakeWorker busy = worker("w1").running().isEmpty() ? worker("w2") : worker("w1");
+        busy.restart();
+        busy.addressTaken = true;
+        mFixture.mLoop.advance(3_500);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+        assertEquals(2, mFixture.startedCount());
+    }
+}
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -333,22 +333,16 @@
             job.phase = JobPhase.CANCELLED;
             mJobs.markChanged(job);
         }
-        int count = 0;
-        for (ProgressCodec.LiveRun live : runs) {
-            count += inherit(live) ? 1 : 0;
-        }
-        return count;
+        runs.forEach(this::inherit);
+        return runs.size();
     }
 
-    /** Takes over a run; returns false if it ended with an earlier incarnation of its worker. */
-    private boolean inherit(ProgressCodec.LiveRun live) {
+    /**
+     * Takes over a run. The worker may have restarted before it received the order, so a later
+     * incarnation does not show that the run has ended.
+     */
+    private void inherit(ProgressCodec.LiveRun live) {
         WorkerSession worker = mWorkers.get(live.worker());
-        if (worker != null
-                && worker.incarnationStartWallMillis() > live.incarnationStartWallMillis()
-                && live.incarnationStartWallMillis() != 0) {
-            mJobs.markChanged(live.task().step.job);
-            return false;
-        }
         if (worker == null) {
             worker = mWorkers.addUnlisted(live.worker(), live.incarnationStartWallMillis());
         }
@@ -356,7 +350,6 @@
         run.state = Run.State.INHERITED;
         run.resumed = true;
         attach(run);
-        return true;
     }
 
     private void attach(Run run) {
@@ -736,13 +729,47 @@
     }
 
     @Override
-    public void otherIncarnation(WorkerSession worker) {
+    public void addressTaken(WorkerSession worker) {
         if (mWorkers.get(worker.id()) == worker) {
-            loseWorker(worker, "another incarnation answers at its address");
+            loseWorker(worker, "another worker answers at its address");
             mWorkers.remove(worker);
         }
     }
 
+    @Override
+    public void restarted(WorkerSession worker, long startWallMillis, long clockMillis) {
+        if (mWorkers.get(worker.id()) == worker) {
+            WorkerEntry entry = worker.entry().ofLaterIncarnation(startWallMillis, clockMillis);
+            moveRuns(worker, mWorkers.replace(worker, entry));
+        }
+    }
+
+    /**
+     * Moves the runs that may be present on the later incarnation of a worker to its session, and
+     * gives up those that have ended with the earlier one.
+     */
+    private void moveRuns(WorkerSession ended, WorkerSession successor) {
+        int movedCount = 0;
+        int endedCount = 0;
+        for (Run run : new ArrayList<>(ended.runs())) {
+            if (run.mayBeOnLaterIncarnation()) {
+                detach(run);
+                attach(run.onLaterIncarnation(successor));
+                movedCount++;
+            } else {
+                runGone(run, "its worker has restarted");
+                endedCount++;
+            }
+        }
+        LogEvent.WORKER_RESTARTED.log(
+                ended.id(),
+                ended.incarnationStartWallMillis(),
+                successor.incarnationStartWallMillis(),
+                endedCount,
+                movedCount);
+        successor.repeatOrders();
+    }
+
     @Override
     public void polled(WorkerSession worker) {
         mFillerController.learnAndPace(worker);
@@ -844,8 +871,8 @@
         }
 
         @Override
-        public void restarted(WorkerSession worker) {
-            otherIncarnation(worker);
+        public void restarted(WorkerSession ended, WorkerSession successor) {
+            moveRuns(ended, successor);
         }
 
         @Override
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -12,7 +12,10 @@
         ORDERED,
         /** The start order got no answer, or its rejection leaves open whether the run exists. */
         UNKNOWN,
-        /** Placed by a previous leader; no poll has shown yet whether it is present. */
+        /**
+         * Ordered by a previous leader, or in the session with an earlier incarnation of the
+         * worker; the next poll shows whether it is present.
+         */
         INHERITED,
         /** The worker has confirmed that it is present. */
         PRESENT
@@ -26,6 +29,9 @@
     /** Approval of the policy service; empty for none. */
     public final String ticket;
 
+    /** Whether a poll answer of the session's incarnation has listed the run. */
+    public boolean listed;
+
     /** Monotonic time at which the worker first confirmed that the run is present. */
     public long confirmedMillis;
 
@@ -87,6 +93,28 @@
         this.ticket = ticket;
     }
 
+    /**
+     * Returns whether the run may be present on a later incarnation of its worker. Orders name the
+     * worker but not its incarnation, so either may have carried out an order that was sent before
+     * the leader knew of the restart.
+     */
+    boolean mayBeOnLaterIncarnation() {
+        return state != State.DECIDED && !listed;
+    }
+
+    /** Returns the run as it may be present on a later incarnation of its worker. */
+    Run onLaterIncarnation(WorkerSession session) {
+        Run run = new Run(task, attempt, session, ticket);
+        // An order without an answer may still be carried out, and its deadline is a time on the
+        // clock of the ended incarnation, so only a stop order can rule the run out.
+        run.state =
+                state == State.ORDERED || state == State.UNKNOWN ? State.UNKNOWN : State.INHERITED;
+        run.stopping = stopping || run.state == State.UNKNOWN;
+        run.resumed = resumed;
+        run.pacePercent = pacePercent;
+        return run;
+    }
+
     /** Returns the progress since the run was first observed. */
     RunSpeed.Progress progress() {
         return new RunSpeed.Progress(
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerRegistry.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerRegistry.java
@@ -46,8 +46,13 @@
         /** Entries have changed. */
         void changed();
 
-        /** An entry shows a later incarnation of a worker; its session has to be removed. */
-        void restarted(WorkerSession worker);
+        /**
+         * An entry shows a later incarnation of a worker.
+         *
+         * @param ended closed session with the earlier incarnation
+         * @param successor session with the later incarnation
+         */
+        void restarted(WorkerSession ended, WorkerSession successor);
 
         /** A worker has started to drain. */
         void draining(WorkerSession worker);
@@ -127,6 +132,14 @@
         return worker;
     }
 
+    /** Replaces the session with an incarnation that has ended by one with a later incarnation. */
+    WorkerSession replace(WorkerSession ended, WorkerEntry laterEntry) {
+        ended.close();
+        WorkerSession successor = mSessionFactory.apply(laterEntry);
+        mWorkers.put(laterEntry.id(), successor);
+        return successor;
+    }
+
     void remove(WorkerSession worker) {
         worker.close();
         mWorkers.remove(worker.id(), worker);
@@ -151,8 +164,9 @@
         }
         if (worker != null
                 && entry.incarnationStartWallMillis() > worker.incarnationStartWallMillis()) {
-            mListener.restarted(worker);
-            worker = null;
+            WorkerSession ended = worker;
+            worker = replace(ended, entry);
+            mListener.restarted(ended, worker);
         }
         if (worker == null) {
             worker = mSessionFactory.apply(entry);
@@ -173,19 +187,23 @@
             return;
         }
         worker.listed = false;
-        mUnlistedTimers.put(id, mLoop.schedule(UNLISTED_GRACE_MILLIS, () -> removeIfIdle(worker)));
+        scheduleRemoval(id);
     }
 
-    private void removeIfIdle(WorkerSession worker) {
-        mUnlistedTimers.remove(worker.id());
-        if (worker.listed || !mOpen) {
+    private void scheduleRemoval(WorkerId id) {
+        mUnlistedTimers.put(id, mLoop.schedule(UNLISTED_GRACE_MILLIS, () -> removeIfIdle(id)));
+    }
+
+    private void removeIfIdle(WorkerId id) {
+        mUnlistedTimers.remove(id);
+        WorkerSession worker = mWorkers.get(id);
+        if (worker == null || worker.listed || !mOpen) {
             return;
         }
         if (worker.runs().isEmpty()) {
             remove(worker);
         } else {
-            mUnlistedTimers.put(
-                    worker.id(), mLoop.schedule(UNLISTED_GRACE_MILLIS, () -> removeIfIdle(worker)));
+            scheduleRemoval(id);
         }
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -133,8 +133,17 @@
         /** The worker has seen a higher fencing token. */
         void fenced(WorkerSession worker);
 
-        /** Another incarnation of the worker has answered. */
-        void otherIncarnation(WorkerSession worker);
+        /** Another worker answers at the address of this one. */
+        void addressTaken(WorkerSession worker);
+
+        /**
+         * A poll was answered by another incarnation of the worker.
+         *
+         * @param worker session with the earlier incarnation
+         * @param startWallMillis start time of the incarnation that answered
+         * @param clockMillis its monotonic clock
+         */
+        void restarted(WorkerSession worker, long startWallMillis, long clockMillis);
 
         /** A poll has updated the reported state of the runs. */
         void polled(WorkerSession worker);
@@ -376,7 +385,7 @@
                 pausePlacements(FAILED_START_PAUSE_MILLIS);
                 mSupervisor.runGone(run, "not started: " + notDone.reason());
             }
-            case OrderOutcome.OtherLife other -> mSupervisor.otherIncarnation(this);
+            case OrderOutcome.OtherLife other -> mSupervisor.addressTaken(this);
             case OrderOutcome.Unknown unknown -> {
                 LogEvent.ORDER_UNANSWERED.log("start", run, unknown.reason());
                 if (run.state == Run.State.ORDERED) {
@@ -459,7 +468,7 @@
                     run.stopConfirmedMillis = mLoop.nowMillis();
                 }
             }
-            case OrderOutcome.OtherLife other -> mSupervisor.otherIncarnation(this);
+            case OrderOutcome.OtherLife other -> mSupervisor.addressTaken(this);
             case OrderOutcome.NotDone notDone ->
                     LogEvent.ORDER_UNANSWERED.log("stop", run, notDone.reason());
             case OrderOutcome.Unknown unknown ->
@@ -597,7 +606,8 @@
                 if (seen.incarnationStartWallMillis() != 0
                         && mIncarnationStartWallMillis != 0
                         && seen.incarnationStartWallMillis() != mIncarnationStartWallMillis) {
-                    mSupervisor.otherIncarnation(this);
+                    mSupervisor.restarted(
+                            this, seen.incarnationStartWallMillis(), seen.clockMillis());
                     return;
                 }
                 if (mFailedPollCount > 0) {
@@ -615,7 +625,7 @@
                 }
             }
             case PollOutcome.Fenced fenced -> mSupervisor.fenced(this);
-            case PollOutcome.OtherLife other -> mSupervisor.otherIncarnation(this);
+            case PollOutcome.OtherLife other -> mSupervisor.addressTaken(this);
             case PollOutcome.Failed failed -> {
                 if (mFailedPollCount++ == 0) {
                     LogEvent.WORKER_SILENT.log(mId, failed.reason());
@@ -634,6 +644,7 @@
                 continue;
             }
             present.add(report.task());
+            run.listed = true;
             run.reportedProgressPercent = report.percent();
             run.reportedLoad = report.load();
             if (!report.checkpoint().isEmpty()) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerEntry.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerEntry.java
@@ -62,4 +62,26 @@
                 0,
                 0);
     }
+
+    /**
+     * Returns the entry of a later incarnation that has not published its own entry yet.
+     *
+     * @param startWallMillis start time of the later incarnation
+     * @param newClockMillis its monotonic clock
+     * @return an entry with the same address
+     */
+    public WorkerEntry ofLaterIncarnation(long startWallMillis, long newClockMillis) {
+        return new WorkerEntry(
+                id,
+                startWallMillis,
+                pool,
+                address,
+                domain,
+                rack,
+                labels,
+                capacity,
+                draining,
+                drainLeftMillis,
+                newClockMillis);
+    }
 }
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -81,6 +81,11 @@
     WORKER_REACHED(505, Level.INFO, "worker {} answers again after {} attempts"),
     /** A worker is draining. */
     WORKER_DRAINING(506, Level.INFO, "worker {} is leaving in {} ms at the earliest"),
+    /** A worker has started again under its id. */
+    WORKER_RESTARTED(
+            507,
+            Level.WARN,
+            "worker {} incarnation {} has restarted as {}; {} runs ended, {} may be present"),
     /** A job was stored. */
     JOB_ACCEPTED(510, Level.INFO, "job {} accepted for queue {} after {} ms"),
     /** A request was refused. */
