--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/SlowWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/SlowWorkerTest.java
@@ -107,6 +107,49 @@
         assertEquals(3, mFixture.startedCount() + mFixture.mWorkers.get("w3").started.size());
     }
 
+    /**
+     * Guards against a worker that gets no task ever again after it was cut off while idle: it
+     * counted as silent until a poll was answered, and idle workers were not polled.
+     */
+    @Test
+    void anIdleWorkerThatWasCutOffForAMomentIsUsedAgain() {
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(300);
+        for (String name : new String[] {"w1", "w2", "w3"}) {
+            worker(name).refusesConnections = true;
+        }
+        JobId job = mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(2_500);
+        assertEquals(JobPhase.QUEUED, mFixture.mPhases.get(job));
+
+        for (String name : new String[] {"w1", "w2", "w3"}) {
+            worker(name).refusesConnections = false;
+        }
+        mFixture.mLoop.advance(3_000);
+
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
+
+    /** Guards against polls without end of a worker that is gone and whose entry has expired. */
+    @Test
+    void anIdleSilentWorkerIsNotPolledOnceItsEntryIsGone() {
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(300);
+        for (String name : new String[] {"w1", "w2", "w3"}) {
+            worker(name).refusesConnections = true;
+        }
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(4_500);
+        for (String name : new String[] {"w1", "w2", "w3"}) {
+            mFixture.mStore.records(Topic.WORKERS).add(new KeyedRecord(name, null));
+        }
+        mFixture.mLoop.advance(4_000);
+        int pollCount = mFixture.mWorkers.pollCount;
+        mFixture.mLoop.advance(10_000);
+
+        assertEquals(pollCount, mFixture.mWorkers.pollCount);
+    }
+
     /**
      * Guards against a worker that has left and is used again by a leader that has just started.
      */
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -53,6 +53,12 @@
      */
     private static final long RENEWAL_INTERVAL_MILLIS = 500;
 
+    /**
+     * Interval of the polls of a silent worker without runs. It gets no new tasks before it answers
+     * one; callers count a task as lost three seconds after a worker could run it.
+     */
+    private static final long SILENT_POLL_INTERVAL_MILLIS = 500;
+
     /** Delay before a poll that is sent only to acknowledge ends. */
     private static final long ACKNOWLEDGE_DELAY_MILLIS = 300;
 
@@ -538,7 +544,7 @@
         }
         boolean hasSentRuns =
                 mRuns.values().stream().anyMatch(run -> run.state != Run.State.DECIDED);
-        if (hasSentRuns) {
+        if (hasSentRuns || isProbeDue()) {
             sendPoll();
         } else if (mAcknowledgedEndNumber < mStoredEndNumber && !mAcknowledgePollScheduled) {
             mAcknowledgePollScheduled = true;
@@ -546,6 +552,13 @@
         }
     }
 
+    /** Returns whether a worker without runs has to be polled to see whether it answers again. */
+    private boolean isProbeDue() {
+        return listed
+                && silent()
+                && mLoop.nowMillis() - mPollSentMillis >= SILENT_POLL_INTERVAL_MILLIS;
+    }
+
     private void sendAcknowledgePoll() {
         mAcknowledgePollScheduled = false;
         if (!mClosed
