--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
@@ -1,6 +1,8 @@
 package org.hornbeamward.dispatch.entry;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -8,6 +10,7 @@
 import org.hornbeamward.dispatch.fake.FakeStore;
 import org.hornbeamward.dispatch.fake.VirtualLoop;
 import org.hornbeamward.dispatch.lead.DispatchLimits;
+import org.hornbeamward.dispatch.lead.FormerLeader;
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Topic;
 import org.junit.jupiter.api.Test;
@@ -17,6 +20,7 @@
     private final VirtualLoop mLoop = new VirtualLoop();
     private final FakeStore mStore = new FakeStore(mLoop);
     private final List<String> mElected = new ArrayList<>();
+    private FormerLeader mFormer = new FormerLeader.Unknown();
 
     private Election entry(String name, int seed) {
         return entry(name, seed, new DispatchLimits(6_000, 120_000, 1.0, 1_000));
@@ -33,8 +37,9 @@
                         limits.candidacyDelayMillis(),
                         new Election.Listener() {
                             @Override
-                            public void elected(long epoch) {
+                            public void elected(long epoch, FormerLeader former) {
                                 mElected.add(name + " " + epoch);
+                                mFormer = former;
                             }
 
                             @Override
@@ -94,6 +99,47 @@
         assertEquals(List.of("a 1", "b 2"), mElected);
     }
 
+    /**
+     * Guards against a successor that counts the leases of a failed leader from its own start: the
+     * store had not confirmed the leader since the successor asked for its records.
+     */
+    @Test
+    void theSuccessorOfASilentLeaderKnowsSinceWhenItWasNotConfirmed() {
+        Election first = entry("a", 1);
+        mLoop.advance(1_000);
+        first.stop();
+        Election second = entry("b", 2);
+        mLoop.advance(200);
+        mStore.records(Topic.PROGRESS).add(new KeyedRecord("alive", new byte[] {1}));
+        second.heartbeatReceived(heartbeat(1, 1));
+        long lostMillis = mLoop.nowMillis();
+        second.feedDisconnected();
+        mLoop.advance(4_000);
+        FormerLeader.Silent silent = assertInstanceOf(FormerLeader.Silent.class, mFormer);
+        assertEquals(1, silent.progressOffset());
+        assertTrue(silent.sinceMillis() >= lostMillis, "before the loss");
+        assertTrue(silent.sinceMillis() <= lostMillis + 200, "long after the loss");
+    }
+
+    /** Guards against trust in the end of a leader whose predecessor may still renew leases. */
+    @Test
+    void theSuccessorOfAResignedLeaderKnowsWhenItWasFirstSeen() {
+        Election first = entry("a", 1);
+        mLoop.advance(1_000);
+        Election second = entry("b", 2);
+        mLoop.advance(300);
+        second.heartbeatReceived(heartbeat(1, -1));
+        mLoop.advance(200);
+        second.heartbeatReceived(heartbeat(1, 3));
+        long firstSeenMillis = mLoop.nowMillis();
+        mLoop.advance(400);
+        second.heartbeatReceived(heartbeat(1, 4));
+        first.stop();
+        first.resign(1);
+        mLoop.advance(500);
+        assertEquals(new FormerLeader.Resigned(firstSeenMillis), mFormer);
+    }
+
     /** Guards against deposing a working leader because its link to one entry is broken. */
     @Test
     void aLeaderThatStillWritesProgressIsNotReplaced() {
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
@@ -153,7 +153,7 @@
                 entry,
                 timeoutMillis,
                 new PollOutcome.Failed("unreachable"),
-                new PollOutcome.Failed("not connected"),
+                new PollOutcome.NotSent("not connected"),
                 new PollOutcome.OtherLife(),
                 () -> {
                     PollOutcome first = worker.poll(deadlineClockMillis, token, acknowledgedEnd);
@@ -174,7 +174,9 @@
             long acknowledgedEnd,
             long untilMillis,
             CompletableFuture<PollOutcome> answer) {
-        if (worker.hasUnacknowledgedEnds() || mLoop.nowMillis() >= untilMillis) {
+        if (worker.refusesConnections) {
+            answer.complete(new PollOutcome.Failed("connection reset"));
+        } else if (worker.hasUnacknowledgedEnds() || mLoop.nowMillis() >= untilMillis) {
             answer.complete(worker.poll(null, token, acknowledgedEnd));
         } else {
             mLoop.schedule(5, () -> awaitEnd(worker, token, acknowledgedEnd, untilMillis, answer));
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
@@ -26,6 +26,16 @@
         return mFixture.mWorkers.get(name);
     }
 
+    private void setTaskMillis(long millis) {
+        worker("w1").taskMillis = millis;
+        worker("w2").taskMillis = millis;
+    }
+
+    /** Returns the only worker with a run. */
+    private FakeWorker busyWorker() {
+        return worker("w1").running().isEmpty() ? worker("w2") : worker("w1");
+    }
+
     /** Guards against a step that starts before the step it depends on is done. */
     @Test
     void dependentStepsRunOneAfterTheOther() {
@@ -130,6 +140,124 @@
         assertEquals(2, mFixture.startedCount());
     }
 
+    /**
+     * Guards against tasks of a worker that is gone for good that wait for as long as leases of the
+     * previous leader could have lasted, although this leader has renewed them since. In
+     * confirma-ro the wait was 11.7 s from the change of leaders instead of 7 s from the last
+     * renewal.
+     */
+    @Test
+    void tasksOfAWorkerThatIsGoneAfterAChangeOfLeadersWaitOnlyForItsLastLease() {
+        Dispatcher first = mFixture.startDispatcher(1);
+        setTaskMillis(60_000);
+        mFixture.submit("job", LeaderFixture.longRunning(1, 1_000));
+        mFixture.mLoop.advance(1_000);
+        first.close();
+        mFixture.startDispatcher(2);
+        mFixture.mLoop.advance(1_100);
+        assertEquals(1, mFixture.startedCount());
+        busyWorker().refusesConnections = true;
+        mFixture.mLoop.advance(FakeWorker.LONGEST_LEASE_MILLIS + 500);
+        assertEquals(2, mFixture.startedCount());
+    }
+
+    /**
+     * Guards against tasks of a worker that was lost during a change of leaders that wait for a
+     * lease from the start of the new leader, although the former one was not confirmed for longer.
+     */
+    @Test
+    void tasksOfAWorkerLostDuringAChangeOfLeadersWaitForTheLeasesOfTheFormerOne() {
+        startJobAndLoseItsWorker();
+        FormerLeader former =
+                new FormerLeader.Silent(
+                        mFixture.mStore.records(Topic.PROGRESS).size(), mFixture.mLoop.nowMillis());
+        mFixture.mLoop.advance(3_000);
+        mFixture.startDispatcher(2, former);
+        expectRestartAfter(
+                FakeWorker.LONGEST_LEASE_MILLIS
+                        + Dispatcher.MAX_RENEWAL_UNCONFIRMED_MILLIS
+                        - 3_000);
+    }
+
+    /** Guards against trust in the silence of a leader that was confirmed later on. */
+    @Test
+    void aRecordOfTheFormerLeaderAfterItsSilenceCountsAsAConfirmation() {
+        startJobAndLoseItsWorker();
+        FormerLeader former =
+                new FormerLeader.Silent(
+                        mFixture.mStore.records(Topic.PROGRESS).size(), mFixture.mLoop.nowMillis());
+        mFixture.mLoop.advance(3_000);
+        mFixture.mStore.records(Topic.PROGRESS).add(new KeyedRecord("alive", new byte[] {1}));
+        mFixture.startDispatcher(2, former);
+        expectRestartAfter(
+                FakeWorker.LONGEST_LEASE_MILLIS + Dispatcher.MAX_RENEWAL_UNCONFIRMED_MILLIS);
+    }
+
+    /** Guards against a wait for renewals of a leader that has said that it stopped. */
+    @Test
+    void aResignedLeaderRenewsNoMoreLeases() {
+        startJobAndLoseItsWorker();
+        mFixture.mLoop.advance(3_000);
+        mFixture.startDispatcher(2, new FormerLeader.Resigned(mFixture.mLoop.nowMillis() - 3_000));
+        expectRestartAfter(FakeWorker.LONGEST_LEASE_MILLIS);
+    }
+
+    /** Guards against a leader that renews leases for longer than its successor assumes. */
+    @Test
+    void aLeaderWithoutConfirmationStopsRenewingLeases() {
+        Dispatcher leader = mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(200);
+        mFixture.mStore.down = true;
+        mFixture.mLoop.advance(Dispatcher.MAX_RENEWAL_UNCONFIRMED_MILLIS - 1_000);
+        assertTrue(leader.leaseMillis() > 0);
+        mFixture.mLoop.advance(1_000);
+        assertEquals(0, leader.leaseMillis());
+        assertTrue(leader.mayOrder());
+    }
+
+    private void startJobAndLoseItsWorker() {
+        Dispatcher first = mFixture.startDispatcher(1);
+        setTaskMillis(60_000);
+        mFixture.submit("job", LeaderFixture.longRunning(1, 1_000));
+        mFixture.mLoop.advance(1_000);
+        assertEquals(1, mFixture.startedCount());
+        busyWorker().refusesConnections = true;
+        first.close();
+    }
+
+    private void expectRestartAfter(long millis) {
+        mFixture.mLoop.advance(millis - 100);
+        assertEquals(1, mFixture.startedCount());
+        mFixture.mLoop.advance(millis / 20 + 500);
+        assertEquals(2, mFixture.startedCount());
+    }
+
+    /**
+     * Guards against a wait that starts anew with each poll that cannot be sent: a lease that the
+     * worker has certainly not received does not count.
+     */
+    @Test
+    void aPollThatIsNotSentDoesNotProlongTheWaitForTheLease() {
+        mFixture.startDispatcher(1);
+        setTaskMillis(60_000);
+        mFixture.submit("job", LeaderFixture.longRunning(1, 1_000));
+        mFixture.mLoop.advance(13_000);
+        assertEquals(1, mFixture.startedCount());
+        int pollCount = mFixture.mWorkers.pollCount;
+        while (mFixture.mWorkers.pollCount == pollCount) {
+            mFixture.mLoop.advance(10);
+        }
+        mFixture.mLoop.advance(900);
+        FakeWorker busy = busyWorker();
+        busy.refusesConnections = true;
+        for (int step = 0; step < 60; step++) {
+            mFixture.mLoop.advance(100);
+            busy.expireLeases();
+            assertTrue(mFixture.runningCount() <= 1, "two runs at step " + step);
+        }
+        assertEquals(2, mFixture.startedCount());
+    }
+
     /** Guards against an ended run whose report the worker drops before the end is stored. */
     @Test
     void anEndIsAcknowledgedOnlyAfterItIsStored() {
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
@@ -43,6 +43,10 @@
     }
 
     Dispatcher startDispatcher(long epoch) {
+        return startDispatcher(epoch, new FormerLeader.Unknown());
+    }
+
+    Dispatcher startDispatcher(long epoch, FormerLeader former) {
         Dispatcher dispatcher =
                 new Dispatcher(
                         mLoop,
@@ -66,6 +70,7 @@
                         new DispatchLimits(FakeWorker.LONGEST_LEASE_MILLIS, 120_000, 1.0, 1_000),
                         new NodeMetrics(),
                         epoch,
+                        former,
                         reason -> {});
         dispatcher.configure(
                 ClusterConfig.of(
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.random.RandomGenerator;
 import org.hornbeamward.codec.Reader;
+import org.hornbeamward.dispatch.lead.FormerLeader;
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Loop;
 import org.hornbeamward.dispatch.port.Store;
@@ -65,8 +66,9 @@
          * This entry has become the leader.
          *
          * @param epoch the epoch in which it leads
+         * @param former what is known of the former leader
          */
-        void elected(long epoch);
+        void elected(long epoch, FormerLeader former);
 
         /**
          * Another entry has become the leader or has resigned; this entry no longer leads.
@@ -91,8 +93,15 @@
     private long mSilentSinceMillis;
     private long mLeaderUnconfirmedMillis;
     private long mLeaderProgressOffset = -1;
+    private long mLastHeartbeatMillis;
+
+    /** Monotonic time of the first heartbeat after the leader's first append; unset if negative. */
+    private long mLeaderFirstSeenMillis = -1;
+
     private boolean mCheckingProgress;
     private boolean mCandidacyPending;
+    private long mCandidacyEpoch = -1;
+    private FormerLeader mCandidacyFormer = new FormerLeader.Unknown();
     private long mNextCandidacyMillis;
     private long mLeadingEpoch = -1;
 
@@ -154,6 +163,10 @@
     void heartbeatReceived(FeedMessage.Heartbeat heartbeat) {
         mHeartbeatReceived = true;
         mSilentSinceMillis = mLoop.nowMillis();
+        mLastHeartbeatMillis = mLoop.nowMillis();
+        if (mLeaderFirstSeenMillis < 0 && heartbeat.progressOffset() >= 0) {
+            mLeaderFirstSeenMillis = mLoop.nowMillis();
+        }
         mLeaderUnconfirmedMillis = heartbeat.unconfirmedMillis();
         mLeaderProgressOffset = heartbeat.progressOffset();
     }
@@ -191,16 +204,23 @@
         }
         LeaderRecord leader = mLeader;
         if (leader == null) {
-            scheduleCandidacy("there is no leader");
+            scheduleCandidacy("there is no leader", new FormerLeader.Unknown());
         } else if (leader.resigned()) {
-            scheduleCandidacy("leader " + leader.instance() + " has resigned");
+            scheduleCandidacy(
+                    "leader " + leader.instance() + " has resigned",
+                    mLeaderFirstSeenMillis < 0
+                            ? new FormerLeader.Unknown()
+                            : new FormerLeader.Resigned(mLeaderFirstSeenMillis));
         } else if (leader.instance().equals(mInstance)
                 && leader.incarnation() != mIncarnation
                 && mCandidacyDelayMillis < YIELD_DELAY_THRESHOLD_MILLIS) {
-            scheduleCandidacy("this instance led in an earlier incarnation");
+            scheduleCandidacy(
+                    "this instance led in an earlier incarnation", new FormerLeader.Unknown());
         } else if (mLeaderUnconfirmedMillis > MAX_UNCONFIRMED_MILLIS
                 && isStoreReachableOnlyHere()) {
-            scheduleCandidacy("leader " + leader.instance() + " cannot reach the store");
+            scheduleCandidacy(
+                    "leader " + leader.instance() + " cannot reach the store",
+                    silentSince(mLastHeartbeatMillis));
         } else {
             evaluateSilence(leader);
         }
@@ -223,7 +243,8 @@
         if (!mHeartbeatReceived || mLeaderProgressOffset < 0) {
             if (silentMillis > FIRST_HEARTBEAT_TIMEOUT_MILLIS) {
                 scheduleCandidacy(
-                        "no heartbeat was ever received from leader " + leader.instance());
+                        "no heartbeat was ever received from leader " + leader.instance(),
+                        new FormerLeader.Unknown());
             }
         } else if (silentMillis > FEED_SILENCE_MILLIS) {
             LogEvent.FEED_LOST.log(leader.instance(), silentMillis);
@@ -259,7 +280,8 @@
                     scheduleCandidacy(
                             "leader "
                                     + leader.instance()
-                                    + " sends no heartbeats and appends no progress");
+                                    + " sends no heartbeats and appends no progress",
+                            silentSince(sentMillis));
                 }
             }
             case ReadOutcome.HistoryGone gone -> mLeaderProgressOffset = -1;
@@ -268,8 +290,15 @@
         }
     }
 
-    private void scheduleCandidacy(String reason) {
+    private FormerLeader silentSince(long millis) {
+        return mLeaderProgressOffset < 0
+                ? new FormerLeader.Unknown()
+                : new FormerLeader.Silent(mLeaderProgressOffset, millis);
+    }
+
+    private void scheduleCandidacy(String reason, FormerLeader former) {
         mCandidacyPending = true;
+        mCandidacyFormer = former;
         LeaderRecord replaced = mLeader;
         mLoop.schedule(mCandidacyDelayMillis, () -> submitCandidacy(replaced, reason));
     }
@@ -281,6 +310,7 @@
         }
         long atOffset = mFollower.nextOffset();
         long epoch = atOffset + 1;
+        mCandidacyEpoch = epoch;
         LeaderRecord record = new LeaderRecord(mInstance, mIncarnation, mFeedAddress, epoch, false);
         mStore.append(
                         Topic.LEADER,
@@ -305,11 +335,13 @@
     }
 
     private void becomeLeader(LeaderRecord record, String reason) {
+        FormerLeader former =
+                record.epoch() == mCandidacyEpoch ? mCandidacyFormer : new FormerLeader.Unknown();
         mLeader = record;
         mLeadingEpoch = record.epoch();
         mLeaderUnconfirmedMillis = 0;
-        LogEvent.LEADER_ELECTED.log(record.epoch(), reason);
-        mListener.elected(record.epoch());
+        LogEvent.LEADER_ELECTED.log(record.epoch(), reason + "; former leader: " + former);
+        mListener.elected(record.epoch(), former);
     }
 
     private void recordReceived(LeaderRecord record) {
@@ -324,9 +356,12 @@
             return;
         }
         if (own && !record.resigned() && record.epoch() != mLeadingEpoch) {
-            becomeLeader(record, "the answer to the append of the candidacy was lost");
+            becomeLeader(record, "the append of the candidacy took effect before its answer");
             return;
         }
+        if (known == null || record.epoch() != known.epoch()) {
+            mLeaderFirstSeenMillis = -1;
+        }
         mLeader = record;
         mHeartbeatReceived = false;
         mLeaderProgressOffset = -1;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -16,6 +16,7 @@
 import org.hornbeamward.dispatch.job.Submission;
 import org.hornbeamward.dispatch.lead.DispatchLimits;
 import org.hornbeamward.dispatch.lead.Dispatcher;
+import org.hornbeamward.dispatch.lead.FormerLeader;
 import org.hornbeamward.dispatch.lead.JobKeys;
 import org.hornbeamward.dispatch.lead.NodeMetrics;
 import org.hornbeamward.dispatch.lead.StatusListener;
@@ -465,7 +466,7 @@
 
     private final class ElectionListener implements Election.Listener {
         @Override
-        public void elected(long epoch) {
+        public void elected(long epoch, FormerLeader former) {
             mFeed.unfollow();
             mEpoch = epoch;
             mStatusComplete = false;
@@ -479,6 +480,7 @@
                             mLimits,
                             mMetrics,
                             epoch,
+                            former,
                             reason -> deposed(epoch, reason));
             mDispatcher = dispatcher;
             ClusterConfig config = mConfig;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -66,12 +66,15 @@
      */
     private static final long FRESH_CONFIRMATION_MILLIS = 1_000;
 
+    /** Time without a confirmation from the store after which the leader sends no more orders. */
+    private static final long MAX_UNCONFIRMED_MILLIS = 4_000;
+
     /**
-     * Time without a confirmation from the store after which the leader sends no more orders and
-     * renews no more leases. A successor relies on it to compute when the leases of a worker that
-     * it cannot reach have lapsed.
+     * Time without a confirmation from the store after which the leader renews no more leases. A
+     * successor relies on it to compute when the leases of a worker that it cannot reach have
+     * lapsed. Leases of 6 s outlast an outage of the store of 6.2 s all the same.
      */
-    static final long MAX_UNCONFIRMED_MILLIS = 4_000;
+    static final long MAX_RENEWAL_UNCONFIRMED_MILLIS = 2_500;
 
     /**
      * Longest time that the store holds a read of jobs or progress open without new records. It
@@ -86,6 +89,7 @@
     private final DispatchLimits mLimits;
     private final NodeMetrics mMetrics;
     private final long mEpoch;
+    private final FormerLeader mFormerLeader;
     private final FencedWriter.DeposedListener mDeposedListener;
     private final FencedWriter mWriter;
     private final TopicFollower mJobsFollower;
@@ -102,6 +106,10 @@
     private boolean mReady;
     private boolean mPassScheduled;
     private boolean mAwaitingConfirmation;
+
+    /** Monotonic time after which no earlier leader grants a lease. */
+    private long mEarlierGrantsEndMillis = Long.MAX_VALUE;
+
     private long mInterferenceSavedMillis = Long.MIN_VALUE;
 
     /**
@@ -115,6 +123,7 @@
      * @param limits limits of the platform
      * @param metrics counts orders, ended runs and jobs
      * @param epoch the epoch, which is also the fencing token
+     * @param formerLeader what is known of the leader of the epoch before
      * @param deposedListener called when a successor has taken over
      */
     public Dispatcher(
@@ -126,6 +135,7 @@
             DispatchLimits limits,
             NodeMetrics metrics,
             long epoch,
+            FormerLeader formerLeader,
             FencedWriter.DeposedListener deposedListener) {
         mLoop = loop;
         mStore = store;
@@ -134,6 +144,7 @@
         mLimits = limits;
         mMetrics = metrics;
         mEpoch = epoch;
+        mFormerLeader = formerLeader;
         mDeposedListener = deposedListener;
         mWriter = new FencedWriter(loop, store, Topic.PROGRESS, PRODUCER, epoch, this::depose);
         mJobsFollower =
@@ -151,8 +162,9 @@
     /** Fences the previous leader, then loads the stored state and takes over. */
     public void start() {
         mWriter.append(
-                List.of(),
+                List.of(KEEP_ALIVE_RECORD),
                 () -> {
+                    mEarlierGrantsEndMillis = earlierGrantsEndMillis();
                     mProgressFollower.start();
                     mJobsFollower.start();
                     mWorkers.start();
@@ -160,6 +172,22 @@
                 });
     }
 
+    /** Returns the time after which no earlier leader grants a lease; now they are fenced. */
+    private long earlierGrantsEndMillis() {
+        long now = mLoop.nowMillis();
+        return switch (mFormerLeader) {
+            case FormerLeader.Unknown unknown -> now + MAX_RENEWAL_UNCONFIRMED_MILLIS;
+            case FormerLeader.Resigned resigned ->
+                    Math.max(now, resigned.firstSeenMillis() + MAX_RENEWAL_UNCONFIRMED_MILLIS);
+            case FormerLeader.Silent silent -> {
+                // The fencing record is the first one after those that the entry knew of.
+                boolean appendedNothing = mWriter.endOffset() == silent.progressOffset() + 1;
+                yield (appendedNothing ? silent.sinceMillis() : now)
+                        + MAX_RENEWAL_UNCONFIRMED_MILLIS;
+            }
+        };
+    }
+
     /**
      * Appends keep-alive records until the regular commits begin. Loading thousands of runs takes
      * seconds, and followers depose a leader that the store has not confirmed recently.
@@ -346,6 +374,9 @@
         if (worker == null) {
             worker = mWorkers.addUnlisted(live.worker(), live.incarnationStartWallMillis());
         }
+        if (worker.incarnationStartWallMillis() != live.incarnationStartWallMillis()) {
+            worker.inheritLeases(mEarlierGrantsEndMillis, mLimits.longestLeaseMillis());
+        }
         Run run = new Run(live.task(), live.attempt(), worker, "");
         run.state = Run.State.INHERITED;
         run.resumed = true;
@@ -371,8 +402,7 @@
 
     private WorkerSession newSession(WorkerEntry entry) {
         WorkerSession worker = new WorkerSession(mLoop, mControl, this, entry);
-        worker.inheritLeases(
-                mLoop.nowMillis() + MAX_UNCONFIRMED_MILLIS + mLimits.leaseMillis() * 11 / 10);
+        worker.inheritLeases(mEarlierGrantsEndMillis, mLimits.leaseMillis());
         return worker;
     }
 
@@ -566,7 +596,8 @@
                     sendOrders();
                 };
         if (!mWriter.isBusy()) {
-            mWriter.append(List.of(), resume);
+            // With a record, so that an entry that follows the topic sees every confirmation.
+            mWriter.append(List.of(KEEP_ALIVE_RECORD), resume);
         } else {
             mLoop.schedule(TICK_INTERVAL_MILLIS, resume);
         }
@@ -592,7 +623,9 @@
 
     @Override
     public long leaseMillis() {
-        return mayOrder() ? mLimits.leaseMillis() : 0;
+        return mayOrder() && mWriter.unconfirmedMillis() < MAX_RENEWAL_UNCONFIRMED_MILLIS
+                ? mLimits.leaseMillis()
+                : 0;
     }
 
     @Override
@@ -767,6 +800,10 @@
                 successor.incarnationStartWallMillis(),
                 endedCount,
                 movedCount);
+        // The deadlines of orders for the earlier incarnation lie far ahead on the clock of the
+        // later one, which shortens the leases to the longest that it grants.
+        successor.inheritLeases(
+                Math.max(mLoop.nowMillis(), mEarlierGrantsEndMillis), mLimits.longestLeaseMillis());
         successor.repeatOrders();
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -68,6 +68,9 @@
     /** Bound on the relative rate of two clocks; the platform allows a drift of 2%. */
     private static final double CLOCK_RATE_BOUND = 1.03;
 
+    /** How much later than its deadline a worker may end a run whose lease has lapsed. */
+    private static final long TIMER_DELAY_MILLIS = 50;
+
     /** How long a worker gets no new tasks after it rejected a start for lack of room. */
     private static final long NO_ROOM_PAUSE_MILLIS = 200;
 
@@ -189,8 +192,19 @@
 
     private long mClockReadAtMillis;
     private long mLeaseDeadlineClockMillis;
+
+    /** Time on the worker's clock until which the poll in flight leases; 0 for none. */
+    private long mOfferedLeaseClockMillis;
+
+    /** Monotonic time until which leases that were granted in other sessions may last. */
     private long mInheritedLeaseEndMillis;
 
+    /** Longest lease that a worker may have been granted in another session. */
+    private long mInheritedLeaseMillis;
+
+    /** Whether a poll has been answered. */
+    private boolean mReached;
+
     WorkerSession(Loop loop, WorkerControl control, Supervisor supervisor, WorkerEntry entry) {
         mLoop = loop;
         mControl = control;
@@ -313,9 +327,16 @@
                 + mRuns.values();
     }
 
-    /** Sets the monotonic time until which leases granted by a previous leader may last. */
-    void inheritLeases(long untilMillis) {
-        mInheritedLeaseEndMillis = untilMillis;
+    /**
+     * Sets how long leases may last that were granted by a previous leader, or in the session with
+     * an earlier incarnation.
+     *
+     * @param grantedUntilMillis monotonic time after which none was granted
+     * @param longestMillis longest lease that can have been granted
+     */
+    void inheritLeases(long grantedUntilMillis, long longestMillis) {
+        mInheritedLeaseEndMillis = grantedUntilMillis + toOwnClock(longestMillis);
+        mInheritedLeaseMillis = longestMillis;
     }
 
     /** Adds a run and reserves its resources. */
@@ -578,9 +599,7 @@
         boolean renews = mFailedPollCount < NO_RENEWAL_POLL_COUNT;
         long leaseMillis = renews ? mSupervisor.leaseMillis() : 0;
         Long deadlineClockMillis = leaseMillis > 0 ? clockNowMillis() + leaseMillis : null;
-        if (deadlineClockMillis != null) {
-            mLeaseDeadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, deadlineClockMillis);
-        }
+        mOfferedLeaseClockMillis = deadlineClockMillis == null ? 0 : deadlineClockMillis;
         boolean unresolved = mRuns.values().stream().anyMatch(this::isUnresolved);
         boolean shared = mUsage.longRunningCpuMillicores() > 0 && mUsage.fillerCpuMillicores() > 0;
         long waitMillis =
@@ -611,6 +630,11 @@
 
     private void pollAnswered(PollOutcome outcome, long sentMillis, long acknowledged) {
         mPollInFlight = false;
+        if (!(outcome instanceof PollOutcome.NotSent)) {
+            mLeaseDeadlineClockMillis =
+                    Math.max(mLeaseDeadlineClockMillis, mOfferedLeaseClockMillis);
+        }
+        mOfferedLeaseClockMillis = 0;
         if (mClosed) {
             return;
         }
@@ -629,6 +653,7 @@
                 }
                 mAcknowledgedEndNumber = Math.max(mAcknowledgedEndNumber, acknowledged);
                 noteClock(seen.clockMillis());
+                noteReached();
                 applyReports(seen, sentMillis);
                 mSupervisor.polled(this);
                 if (mRuns.values().stream().anyMatch(this::isUnresolved)) {
@@ -639,15 +664,18 @@
             }
             case PollOutcome.Fenced fenced -> mSupervisor.fenced(this);
             case PollOutcome.OtherLife other -> mSupervisor.addressTaken(this);
-            case PollOutcome.Failed failed -> {
-                if (mFailedPollCount++ == 0) {
-                    LogEvent.WORKER_SILENT.log(mId, failed.reason());
-                }
-                mLoop.schedule(POLL_RETRY_MILLIS, this::poll);
-            }
+            case PollOutcome.NotSent notSent -> pollFailed(notSent.reason());
+            case PollOutcome.Failed failed -> pollFailed(failed.reason());
         }
     }
 
+    private void pollFailed(String reason) {
+        if (mFailedPollCount++ == 0) {
+            LogEvent.WORKER_SILENT.log(mId, reason);
+        }
+        mLoop.schedule(POLL_RETRY_MILLIS, this::poll);
+    }
+
     private void applyReports(PollOutcome.Seen seen, long sentMillis) {
         Set<TaskName> present = new HashSet<>();
         for (RunReport report : seen.running()) {
@@ -698,13 +726,28 @@
     /** Returns whether all leases that any leader has granted must have lapsed on the worker. */
     boolean leasesLapsed() {
         long now = mLoop.nowMillis();
-        return now > mInheritedLeaseEndMillis && now > passedAtMillis(mLeaseDeadlineClockMillis);
+        long deadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, mOfferedLeaseClockMillis);
+        return now > mInheritedLeaseEndMillis && now > passedAtMillis(deadlineClockMillis);
     }
 
     boolean silent() {
         return mFailedPollCount > 0;
     }
 
+    /**
+     * Bounds the inherited leases at the first answer. The worker has seen this leader's fencing
+     * token, so that it refuses later renewals by others, and those before started no later.
+     */
+    private void noteReached() {
+        if (!mReached) {
+            mReached = true;
+            mInheritedLeaseEndMillis =
+                    Math.min(
+                            mInheritedLeaseEndMillis,
+                            passedAtMillis(mClockReadingMillis + mInheritedLeaseMillis));
+        }
+    }
+
     private void noteClock(long clockMillis) {
         mClockReadingMillis = clockMillis;
         mClockReadAtMillis = mLoop.nowMillis();
@@ -718,8 +761,11 @@
 
     /** Returns the monotonic time at which the worker's clock has certainly passed a given time. */
     private long passedAtMillis(long clockMillis) {
-        return mClockReadAtMillis
-                + (long) (Math.max(0, clockMillis - mClockReadingMillis) * CLOCK_RATE_BOUND)
-                + 50;
+        return mClockReadAtMillis + toOwnClock(Math.max(0, clockMillis - mClockReadingMillis));
+    }
+
+    /** Returns the time on the monotonic clock in which a time on the worker's clock has passed. */
+    private static long toOwnClock(long workerMillis) {
+        return (long) (workerMillis * CLOCK_RATE_BOUND) + TIMER_DELAY_MILLIS;
     }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
@@ -148,7 +148,14 @@
         record OtherLife() implements PollOutcome {}
 
         /**
-         * There was no usable answer.
+         * The worker has certainly not received the poll.
+         *
+         * @param reason why
+         */
+        record NotSent(String reason) implements PollOutcome {}
+
+        /**
+         * There was no usable answer; the worker may have received the poll.
          *
          * @param reason why
          */
