--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -64,12 +64,18 @@
     /** Duration of each run. */
     public long taskMillis = 500;
 
+    /** The newest checkpoint that runs report; empty for none. */
+    public String checkpoint = "";
+
     /** How runs end. */
     public EndKind endKind = EndKind.DONE;
 
     /** The task of every start order that took effect. */
     public final List<TaskName> started = new ArrayList<>();
 
+    /** The checkpoint of every start order that took effect. */
+    public final List<String> startCheckpoints = new ArrayList<>();
+
     /** The task of every run that completed its work. */
     public final List<TaskName> done = new ArrayList<>();
 
@@ -151,6 +157,11 @@
                 Math.max(mLeaseDeadlineClockMillis, Math.min(deadlineClockMillis, longestMillis));
     }
 
+    /** Ends all runs, as when another member of their gang has ended. */
+    public void breakGangs() {
+        new ArrayList<>(mRunning.keySet()).forEach(task -> end(task, EndKind.GANG_BROKEN));
+    }
+
     /** Ends all runs if the lease has lapsed. */
     public void expireLeases() {
         if (clockMillis() > mLeaseDeadlineClockMillis) {
@@ -162,7 +173,8 @@
         Integer attempt = mRunning.remove(task);
         if (attempt != null) {
             mHighestEndedAttempts.merge(task, attempt, Math::max);
-            mUnacknowledgedEnds.add(new EndReport(++mLastEndNumber, task, attempt, kind, ""));
+            mUnacknowledgedEnds.add(
+                    new EndReport(++mLastEndNumber, task, attempt, kind, checkpoint));
             if (kind == EndKind.DONE) {
                 done.add(task);
             }
@@ -184,6 +196,7 @@
         }
         if (mRunning.putIfAbsent(order.task(), order.attempt()) == null) {
             started.add(order.task());
+            startCheckpoints.add(order.checkpoint());
             mStartedMillis.put(order.task(), mLoop.nowMillis());
             long incarnationStartWallMillis = mIncarnationStartWallMillis;
             mLoop.schedule(taskMillis, () -> finish(order, incarnationStartWallMillis));
@@ -227,7 +240,8 @@
         mUnacknowledgedEnds.removeIf(end -> end.number() <= mAcknowledgedEnd);
         List<RunReport> running = new ArrayList<>();
         mRunning.forEach(
-                (task, attempt) -> running.add(new RunReport(task, attempt, "", percent(task), 0)));
+                (task, attempt) ->
+                        running.add(new RunReport(task, attempt, checkpoint, percent(task), 0)));
         return new PollOutcome.Seen(
                 mIncarnationStartWallMillis,
                 clockMillis(),
--- /dev/null
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GangTest.java
@@ -0,0 +1,85 @@
+package org.hornbeamward.dispatch.lead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hornbeamward.dispatch.fake.FakeWorker;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Gangs, whose members all have to resume from the same checkpoint. */
+class GangTest {
+    private final LeaderFixture mFixture = new LeaderFixture();
+    private final FakeWorker mFirst = mFixture.mWorkers.get("w1");
+    private final FakeWorker mSecond = mFixture.mWorkers.get("w2");
+
+    @BeforeEach
+    void setTaskMillis() {
+        mFirst.taskMillis = 60_000;
+        mSecond.taskMillis = 60_000;
+    }
+
+    private List<String> restartCheckpoints() {
+        List<String> checkpoints = new ArrayList<>();
+        for (FakeWorker worker : List.of(mFirst, mSecond)) {
+            checkpoints.addAll(worker.startCheckpoints);
+        }
+        return checkpoints.subList(2, 4);
+    }
+
+    /** Restarts the worker of a member that has not reported the checkpoint of the other one. */
+    private void crashMemberAfterCheckpoint() {
+        mFixture.submit("job", LeaderFixture.gang(2, 3_000));
+        mFixture.mLoop.advance(500);
+        assertEquals(2, mFixture.runningCount());
+        mFirst.checkpoint = "newest";
+        mFixture.mLoop.advance(1_200);
+        mSecond.restart();
+        mFirst.breakGangs();
+        mFirst.startCheckpoints.clear();
+        mSecond.startCheckpoints.clear();
+        mFirst.startCheckpoints.addAll(List.of("", ""));
+    }
+
+    /**
+     * Guards against members that are started with different checkpoints, and so never come
+     * together, after a member was lost that had not reported the newest one.
+     */
+    @Test
+    void allMembersResumeFromTheNewestCheckpointOfAnyOfThem() {
+        mFixture.startDispatcher(1);
+        crashMemberAfterCheckpoint();
+        mFixture.registerWorker("w2");
+        mFixture.mLoop.advance(3_000);
+        assertEquals(List.of("newest", "newest"), restartCheckpoints());
+    }
+
+    /** Guards against the same when the members are started by a new leader. */
+    @Test
+    void aNewLeaderStartsAllMembersFromTheSameCheckpoint() {
+        Dispatcher first = mFixture.startDispatcher(1);
+        crashMemberAfterCheckpoint();
+        mFixture.mLoop.advance(60);
+        first.close();
+        mFixture.registerWorker("w2");
+        mFixture.startDispatcher(2);
+        mFixture.mLoop.advance(3_000);
+        assertEquals(List.of("newest", "newest"), restartCheckpoints());
+    }
+
+    /** Guards against an older value that a member reports late and that replaces a newer one. */
+    @Test
+    void anOlderCheckpointDoesNotReplaceANewerOne() {
+        Checkpoint checkpoint = new Checkpoint();
+        checkpoint.offer("a40", 1, 40);
+        checkpoint.offer("a20", 1, 20);
+        assertEquals("a40", checkpoint.value());
+        checkpoint.offer("b10", 2, 10);
+        assertEquals("b10", checkpoint.value());
+        checkpoint.offer("a90", 1, 90);
+        assertEquals("b10", checkpoint.value());
+        checkpoint.offer("", 2, 50);
+        assertEquals("b10", checkpoint.value());
+    }
+}
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/HostileInputTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/HostileInputTest.java
@@ -103,7 +103,7 @@
                         mFixture.mWorkers.add("i-0123456789", 1_000).entry());
         for (Task task : job.steps(0)[0].tasks) {
             task.lastAttempt = 3;
-            task.checkpoint = "00000bb87a21d94b";
+            task.checkpoint.restore("00000bb87a21d94b");
             task.run = new Run(task, 3, worker, "");
         }
         assertTrue(ProgressCodec.encode(job).length < MAX_RECORD_BYTES);
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
@@ -93,22 +93,30 @@
     }
 
     static StepSpec step(int taskCount, long cpuMillicores, Integer... dependencies) {
-        return step(taskCount, cpuMillicores, false, dependencies);
+        return step(taskCount, cpuMillicores, false, false, dependencies);
     }
 
     static StepSpec longRunning(int taskCount, long cpuMillicores) {
-        return step(taskCount, cpuMillicores, true);
+        return step(taskCount, cpuMillicores, false, true);
+    }
+
+    static StepSpec gang(int taskCount, long cpuMillicores) {
+        return step(taskCount, cpuMillicores, true, false);
     }
 
     private static StepSpec step(
-            int taskCount, long cpuMillicores, boolean longRunning, Integer... dependencies) {
+            int taskCount,
+            long cpuMillicores,
+            boolean gang,
+            boolean longRunning,
+            Integer... dependencies) {
         return new StepSpec(
                 taskCount,
                 new Resources(cpuMillicores, 100, 0),
                 500,
                 List.of(dependencies),
-                false,
-                false,
+                gang,
+                gang,
                 false,
                 "",
                 "",
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -688,8 +688,8 @@
             }
             detach(run);
         }
-        if (!end.checkpoint().isEmpty() && !task.done) {
-            task.checkpoint = end.checkpoint();
+        if (!task.done) {
+            task.checkpoint.offer(end.checkpoint(), end.attempt(), Checkpoint.END_PERCENT);
         }
         switch (end.kind()) {
             case DONE -> taskDone(worker, task);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
@@ -48,7 +48,7 @@
                 .bool(task.done)
                 .integer(task.failureCount)
                 .integer(task.lastAttempt)
-                .text(task.done ? "" : task.checkpoint);
+                .text(task.done ? "" : task.checkpoint.value());
         if (run != null) {
             writer.integer(run.attempt)
                     .text(run.worker.id())
@@ -93,7 +93,7 @@
         }
         task.failureCount = reader.int32();
         task.lastAttempt = reader.int32();
-        task.checkpoint = reader.text();
+        task.checkpoint.restore(reader.text());
         if (fieldCount > 7) {
             int attempt = reader.int32();
             live.add(new LiveRun(task, attempt, reader.worker(), reader.integer()));
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -29,6 +29,12 @@
     /** Approval of the policy service; empty for none. */
     public final String ticket;
 
+    /**
+     * Checkpoint that the run resumes from; empty for none. It is fixed when the run is placed, so
+     * that all members of a gang carry the same one.
+     */
+    public final String checkpoint;
+
     /** Whether a poll answer of the session's incarnation has listed the run. */
     public boolean listed;
 
@@ -91,6 +97,7 @@
         this.attempt = attempt;
         this.worker = worker;
         this.ticket = ticket;
+        checkpoint = task.checkpoint.value();
     }
 
     /**
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Step.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Step.java
@@ -27,9 +27,10 @@
         spec = job.submission.spec().steps().get(number);
         tasks = new Task[spec.taskCount()];
         projectedMillis = new long[tasks.length];
+        Checkpoint shared = new Checkpoint();
         for (int index = 0; index < tasks.length; index++) {
-            tasks[index] =
-                    new Task(this, new TaskName(job.submission.job(), occurrence, number, index));
+            TaskName name = new TaskName(job.submission.job(), occurrence, number, index);
+            tasks[index] = new Task(this, name, spec.gang() ? shared : new Checkpoint());
         }
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
@@ -14,7 +14,9 @@
     public boolean done;
     public int failureCount;
     public int lastAttempt;
-    public String checkpoint = "";
+
+    /** The newest checkpoint, shared by the members of a gang. */
+    public final Checkpoint checkpoint;
 
     /** Monotonic time before which the task must not be started again. */
     public long notBeforeMillis;
@@ -34,9 +36,10 @@
     /** The run that may be present on a worker; null if there is none. */
     public @Nullable Run run;
 
-    Task(Step step, TaskName name) {
+    Task(Step step, TaskName name, Checkpoint checkpoint) {
         this.step = step;
         this.name = name;
+        this.checkpoint = checkpoint;
     }
 
     boolean waiting() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -370,7 +370,7 @@
                         run.task.step.job.spec().payload(),
                         deadlineClockMillis,
                         mSupervisor.fencingToken(),
-                        run.task.checkpoint,
+                        run.checkpoint,
                         run.ticket);
         guarded(
                         () -> mControl.start(mEntry, order, ANSWER_TIMEOUT_MILLIS),
@@ -688,9 +688,7 @@
             run.listed = true;
             run.reportedProgressPercent = report.percent();
             run.reportedLoad = report.load();
-            if (!report.checkpoint().isEmpty()) {
-                run.task.checkpoint = report.checkpoint();
-            }
+            run.task.checkpoint.offer(report.checkpoint(), report.attempt(), report.percent());
             markPresent(run);
         }
         for (EndReport end : seen.ended()) {
