--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
@@ -23,6 +23,7 @@
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.dispatch.job.JobSpec;
 import org.hornbeamward.dispatch.lead.DispatchLimits;
+import org.hornbeamward.dispatch.lead.JobKeys;
 import org.hornbeamward.dispatch.port.Documents;
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Topic;
@@ -192,4 +193,42 @@
         mLoop.advance(1_200);
         assertEquals(1, mStore.records(Topic.JOBS).size());
     }
+
+    /**
+     * Guards against a lost cancellation: this entry does not know yet of a job that another entry
+     * has just accepted, told the caller that no such job exists, and the job ran.
+     */
+    @Test
+    void aCancellationOfAJobThatIsNotKnownYetIsStored() {
+        CompletableFuture<JobOutcome> answer = mNode.cancel(QUEUE, JOB, mLoop.nowMillis() + 3_000);
+        mLoop.advance(50);
+        assertEquals(new JobOutcome.Known(JobPhase.CANCELLED), answer.join());
+        KeyedRecord record = mStore.records(Topic.JOBS).get(0);
+        assertEquals(JobKeys.cancellation(JOB), record.key());
+    }
+
+    /** Guards against an acknowledged cancellation that is stored nowhere. */
+    @Test
+    void aCancellationThatTheStoreDoesNotTakeIsNotAcknowledged() {
+        mStore.down = true;
+        CompletableFuture<JobOutcome> answer = mNode.cancel(QUEUE, JOB, mLoop.nowMillis() + 1_000);
+        mLoop.advance(4_000);
+        assertInstanceOf(JobOutcome.Unavailable.class, answer.join());
+    }
+
+    /** Guards against a job that is cancelled by a caller who names another queue. */
+    @Test
+    void aJobOfAnotherQueueIsNotCancelled() {
+        mFeed.mReceiver
+                .orElseThrow()
+                .received(
+                        new FeedMessage.Phases(
+                                false,
+                                false,
+                                List.of(new StatusTable.Row(JOB, "other", JobPhase.RUNNING))));
+        CompletableFuture<JobOutcome> answer = mNode.cancel(QUEUE, JOB, mLoop.nowMillis() + 3_000);
+        mLoop.advance(50);
+        assertInstanceOf(JobOutcome.NoSuchJob.class, answer.join());
+        assertTrue(mStore.records(Topic.JOBS).isEmpty());
+    }
 }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -317,6 +318,46 @@
         assertEquals(JobPhase.CANCELLED, mFixture.mPhases.get(job));
     }
 
+    /** Guards against a job that runs because its cancellation was stored before its submission. */
+    @Test
+    void aCancellationThatIsStoredBeforeTheSubmissionApplies() {
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(200);
+        mFixture.cancel(new JobId("job"), "queue");
+        mFixture.mLoop.advance(200);
+        JobId job = mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(1_000);
+        assertEquals(JobPhase.CANCELLED, mFixture.mPhases.get(job));
+        assertEquals(0, mFixture.startedCount());
+    }
+
+    /** Guards against a job that is cancelled through a queue to which it was not submitted. */
+    @Test
+    void aCancellationForAnotherQueueDoesNotApply() {
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(200);
+        mFixture.cancel(new JobId("job"), "other");
+        JobId job = mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        mFixture.cancel(job, "other");
+        mFixture.mLoop.advance(1_500);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
+
+    /** Guards against cancellations of jobs that never existed and that stay in the store. */
+    @Test
+    void cancellationsOfUnknownJobsAreRemovedFromTheStore() {
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(200);
+        mFixture.cancel(new JobId("nothing"), "queue");
+        mFixture.mLoop.advance(239_000);
+        assertEquals(1, mFixture.mStore.records(Topic.JOBS).size());
+        mFixture.mLoop.advance(3_000);
+        List<KeyedRecord> records = mFixture.mStore.records(Topic.JOBS);
+        assertEquals(2, records.size());
+        assertNull(records.get(1).value());
+    }
+
     /** Guards against a job that can never complete and uses capacity indefinitely. */
     @Test
     void aTaskThatAlwaysFailsFailsItsJobAfterAllAttempts() {
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
@@ -12,6 +12,7 @@
 import org.hornbeamward.dispatch.fake.FakeWorker;
 import org.hornbeamward.dispatch.fake.FakeWorkers;
 import org.hornbeamward.dispatch.fake.VirtualLoop;
+import org.hornbeamward.dispatch.job.Cancellation;
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.dispatch.job.JobSpec;
 import org.hornbeamward.dispatch.job.StepSpec;
@@ -146,6 +147,11 @@
         mStore.records(Topic.JOBS).add(new KeyedRecord(JobKeys.cancellation(job), new byte[] {1}));
     }
 
+    void cancel(JobId job, String queue) {
+        mStore.records(Topic.JOBS)
+                .add(new KeyedRecord(JobKeys.cancellation(job), new Cancellation(queue).encode()));
+    }
+
     int startedCount() {
         return mWorkers.get("w1").started.size() + mWorkers.get("w2").started.size();
     }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import org.hornbeamward.dispatch.config.ClusterConfig;
 import org.hornbeamward.dispatch.config.QueueConfig;
+import org.hornbeamward.dispatch.job.Cancellation;
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.dispatch.job.JobSpec;
 import org.hornbeamward.dispatch.job.Submission;
@@ -28,6 +29,7 @@
 import org.hornbeamward.dispatch.port.Store;
 import org.hornbeamward.dispatch.port.Topic;
 import org.hornbeamward.dispatch.port.WorkerControl;
+import org.hornbeamward.dispatch.store.RecordHandler;
 import org.hornbeamward.dispatch.store.TopicFollower;
 import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.lib.FailureDomainId;
@@ -355,7 +357,9 @@
     }
 
     /**
-     * Cancels a job.
+     * Cancels a job. The cancellation of a job that this entry does not know is stored too: another
+     * entry may have accepted it a moment ago, and the leader applies the cancellation whichever
+     * record it reads first.
      *
      * @param queue the queue named in the request
      * @param job id of the job to cancel
@@ -363,20 +367,18 @@
      * @return its phase after the call, or why it cannot be cancelled
      */
     public CompletableFuture<JobOutcome> cancel(QueueConfig queue, JobId job, long deadlineMillis) {
-        return phase(queue, job)
-                .thenCompose(
-                        outcome -> {
-                            boolean open =
-                                    outcome instanceof JobOutcome.Known known
-                                            && !known.phase().terminal();
-                            return open
-                                    ? storeCancellation(job, deadlineMillis)
-                                    : CompletableFuture.completedFuture(outcome);
-                        });
+        StatusTable.Row row = mStatus.get(job);
+        boolean settled =
+                row != null && (!row.queue().equals(queue.name()) || row.phase().terminal());
+        return settled
+                ? CompletableFuture.completedFuture(lookUp(queue, job))
+                : storeCancellation(queue, job, deadlineMillis);
     }
 
-    private CompletableFuture<JobOutcome> storeCancellation(JobId job, long deadlineMillis) {
-        KeyedRecord record = new KeyedRecord(JobKeys.cancellation(job), new byte[] {1});
+    private CompletableFuture<JobOutcome> storeCancellation(
+            QueueConfig queue, JobId job, long deadlineMillis) {
+        KeyedRecord record =
+                new KeyedRecord(JobKeys.cancellation(job), new Cancellation(queue.name()).encode());
         return mJobsWriter
                 .store(record, deadlineMillis)
                 .thenApply(
@@ -615,25 +617,22 @@
         @Override
         public void loaded(Map<String, byte[]> newest) {
             mOperatorDocuments.keySet().retainAll(newest.keySet());
-            newest.forEach(this::apply);
+            RecordHandler.handleAll(newest, this::apply);
             updateDomainsOut();
         }
 
         @Override
         public void changed(List<KeyedRecord> records) {
-            for (KeyedRecord record : records) {
-                byte[] value = record.value();
-                if (value == null) {
-                    mOperatorDocuments.remove(record.key());
-                    LogEvent.OPERATOR_RECORD.log(record.key(), "removed");
-                } else {
-                    apply(record.key(), value);
-                }
-            }
+            RecordHandler.handleAll(records, this::apply);
             updateDomainsOut();
         }
 
-        private void apply(String key, byte[] value) {
+        private void apply(String key, byte @Nullable [] value) {
+            if (value == null) {
+                mOperatorDocuments.remove(key);
+                LogEvent.OPERATOR_RECORD.log(key, "removed");
+                return;
+            }
             mDocuments
                     .decodeOperatorRecord(key, value)
                     .peek(document -> mOperatorDocuments.put(key, document))
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -456,14 +456,17 @@
                 removed.add(new KeyedRecord(JobKeys.cancellation(id), null));
             }
         }
+        int jobCount = removed.size() / 2;
+        for (JobId id : mJobs.removeOrphanedCancellations(mLoop.nowMillis() - keepMillis)) {
+            removed.add(new KeyedRecord(JobKeys.cancellation(id), null));
+        }
         if (!removed.isEmpty()) {
             mStore.append(
                             Topic.JOBS,
                             removed,
                             new Store.Condition.Always(),
                             FRESH_CONFIRMATION_MILLIS)
-                    .thenAccept(
-                            outcome -> LogEvent.JOBS_FORGOTTEN.log(removed.size() / 2, outcome));
+                    .thenAccept(outcome -> LogEvent.JOBS_FORGOTTEN.log(jobCount, outcome));
         }
     }
 
@@ -863,8 +866,8 @@
             Dispatcher.this.requestPass();
         }
 
-        private void apply(String key, byte[] value) {
-            Job job = mJobs.apply(key, value);
+        private void apply(String key, byte @Nullable [] value) {
+            Job job = value == null ? null : mJobs.apply(key, value, mLoop.nowMillis());
             if (job == null || !mReady) {
                 return;
             }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.hornbeamward.codec.Reader;
 import org.hornbeamward.dispatch.config.ClusterConfig;
+import org.hornbeamward.dispatch.job.Cancellation;
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.dispatch.job.Submission;
 import org.hornbeamward.event.LogEvent;
@@ -20,10 +21,13 @@
 final class JobTable {
     private final Map<JobId, Job> mJobs = new LinkedHashMap<>();
     private final Set<Job> mActive = new LinkedHashSet<>();
-    private final Set<JobId> mCancelled = new HashSet<>();
+    private final Map<JobId, KnownCancellation> mCancellations = new HashMap<>();
     private final Set<Job> mChanged = new LinkedHashSet<>();
     private @Nullable ClusterConfig mConfig;
 
+    /** A cancellation and the monotonic time at which this leader read it. */
+    private record KnownCancellation(Cancellation cancellation, long knownSinceMillis) {}
+
     void configure(ClusterConfig config) {
         mConfig = config;
         mActive.forEach(this::refreshQueue);
@@ -39,14 +43,18 @@
     /**
      * Applies a record of the jobs topic.
      *
+     * @param key key of the record
+     * @param value its value
+     * @param nowMillis monotonic time
      * @return the job that it added or cancelled, or null if it changed nothing
      */
-    @Nullable Job apply(String key, byte[] value) {
+    @Nullable Job apply(String key, byte[] value, long nowMillis) {
         return JobKeys.parse(key)
                 .map(
                         parsed ->
                                 parsed.cancellation()
-                                        ? cancel(parsed.job())
+                                        ? cancel(
+                                                parsed.job(), Cancellation.decode(value), nowMillis)
                                         : submit(parsed.job(), value))
                 .getOrElse(
                         () -> {
@@ -64,7 +72,8 @@
             refreshQueue(job);
             mJobs.put(id, job);
             mActive.add(job);
-            if (mCancelled.contains(id)) {
+            KnownCancellation known = mCancellations.get(id);
+            if (known != null && known.cancellation().appliesTo(job.submission)) {
                 job.phase = JobPhase.CANCELLED;
                 markChanged(job);
             }
@@ -75,10 +84,10 @@
         }
     }
 
-    private @Nullable Job cancel(JobId id) {
-        mCancelled.add(id);
+    private @Nullable Job cancel(JobId id, Cancellation cancellation, long nowMillis) {
+        mCancellations.put(id, new KnownCancellation(cancellation, nowMillis));
         Job job = mJobs.get(id);
-        if (job == null || job.terminal()) {
+        if (job == null || job.terminal() || !cancellation.appliesTo(job.submission)) {
             return null;
         }
         job.phase = JobPhase.CANCELLED;
@@ -121,11 +130,24 @@
         }
     }
 
+    /** Removes the cancellations of unknown jobs that were read before a time; returns the ids. */
+    List<JobId> removeOrphanedCancellations(long beforeMillis) {
+        List<JobId> orphaned = new ArrayList<>();
+        mCancellations.forEach(
+                (id, known) -> {
+                    if (known.knownSinceMillis() < beforeMillis && !mJobs.containsKey(id)) {
+                        orphaned.add(id);
+                    }
+                });
+        orphaned.forEach(mCancellations::remove);
+        return orphaned;
+    }
+
     /** Removes a job entirely. */
     void remove(Job job) {
         JobId id = job.submission.job();
         mJobs.remove(id);
-        mCancelled.remove(id);
+        mCancellations.remove(id);
         mActive.remove(job);
         mChanged.remove(job);
     }
