--- /dev/null
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaseBoundTest.java
@@ -0,0 +1,142 @@
+package org.hornbeamward.dispatch.lead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.hornbeamward.dispatch.fake.FakeWorker;
+import org.hornbeamward.dispatch.port.KeyedRecord;
+import org.hornbeamward.dispatch.port.Topic;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+
+/** Workers that are silent while leaders change. */
+class LeaseBoundTest {
+    private final LeaderFixture mFixture = new LeaderFixture();
+
+    private FakeWorker worker(String name) {
+        return mFixture.mWorkers.get(name);
+    }
+
+    /** Starts a task that lasts and returns its worker. */
+    private FakeWorker startJob() {
+        worker("w1").taskMillis = 60_000;
+        worker("w2").taskMillis = 60_000;
+        mFixture.submit("job", LeaderFixture.longRunning(1, 1_000));
+        mFixture.mLoop.advance(3_000);
+        assertEquals(1, mFixture.startedCount());
+        return worker("w1").running().isEmpty() ? worker("w2") : worker("w1");
+    }
+
+    /** Returns the newest lease bound record of a worker; null if there never was one. */
+    private @Nullable KeyedRecord newestBound(FakeWorker worker) {
+        KeyedRecord newest = null;
+        for (KeyedRecord record : mFixture.mStore.records(Topic.PROGRESS)) {
+            if (record.key().equals("lease/" + worker.entry().id())) {
+                newest = record;
+            }
+        }
+        return newest;
+    }
+
+    /** Ends a leader and starts another one that knows since when the first one was silent. */
+    private Dispatcher replace(Dispatcher leader, long epoch) {
+        leader.close();
+        int progressOffset = mFixture.mStore.records(Topic.PROGRESS).size();
+        long sinceMillis = mFixture.mLoop.nowMillis();
+        mFixture.mLoop.advance(300);
+        return mFixture.startDispatcher(
+                epoch, new FormerLeader.Silent(progressOffset, sinceMillis));
+    }
+
+    private void advanceAndExpectOneRun(FakeWorker worker, long millis) {
+        for (long passedMillis = 0; passedMillis < millis; passedMillis += 100) {
+            mFixture.mLoop.advance(100);
+            worker.expireLeases();
+            assertTrue(mFixture.runningCount() <= 1, "two runs after " + passedMillis + " ms");
+        }
+    }
+
+    /**
+     * Guards against tasks of a worker that is gone for good that wait anew for a full lease at
+     * each change of leaders, and so for as long as a rolling restart takes.
+     */
+    @Test
+    void aSeriesOfLeadersWaitsOnceForTheLeasesOfASilentWorker() {
+        Dispatcher leader = mFixture.startDispatcher(1);
+        FakeWorker gone = startJob();
+        gone.refusesConnections = true;
+        for (int epoch = 2; epoch <= 5; epoch++) {
+            mFixture.mLoop.advance(1_200);
+            leader = replace(leader, epoch);
+        }
+        mFixture.mLoop.advance(2_200);
+        assertEquals(2, mFixture.startedCount());
+    }
+
+    /** Guards against two runs of a task on a worker that was only cut off from the leaders. */
+    @Test
+    void theTaskOfACutOffWorkerIsNotStartedBeforeItsLeaseHasLapsed() {
+        Dispatcher leader = mFixture.startDispatcher(1);
+        FakeWorker cutOff = startJob();
+        cutOff.unreachable = true;
+        for (int epoch = 2; epoch <= 8; epoch++) {
+            advanceAndExpectOneRun(cutOff, 1_000);
+            leader = replace(leader, epoch);
+        }
+        advanceAndExpectOneRun(cutOff, 3_000);
+        assertEquals(2, mFixture.startedCount());
+    }
+
+    /**
+     * Guards against a leader that renews leases beyond the stored bound, on which a successor
+     * relies, because the store cannot take its removal.
+     */
+    @Test
+    void noLeaseIsRenewedBeforeTheStoredBoundIsRemoved() {
+        Dispatcher leader = mFixture.startDispatcher(1);
+        FakeWorker cutOff = startJob();
+        cutOff.unreachable = true;
+        advanceAndExpectOneRun(cutOff, 3_000);
+        assertNotNull(newestBound(cutOff));
+        mFixture.mStore.down = true;
+        cutOff.unreachable = false;
+        advanceAndExpectOneRun(cutOff, 2_000);
+        leader.close();
+        cutOff.unreachable = true;
+        mFixture.mStore.down = false;
+        mFixture.startDispatcher(2);
+        advanceAndExpectOneRun(cutOff, 8_000);
+        assertEquals(2, mFixture.startedCount());
+    }
+
+    /** Guards against a worker whose leases are not renewed after it has answered again. */
+    @Test
+    void theBoundIsRemovedOnceTheWorkerAnswersAgain() {
+        mFixture.startDispatcher(1);
+        FakeWorker silent = startJob();
+        silent.unreachable = true;
+        mFixture.mLoop.advance(2_500);
+        assertNotNull(newestBound(silent));
+        silent.unreachable = false;
+        advanceAndExpectOneRun(silent, 20_000);
+        KeyedRecord bound = newestBound(silent);
+        assertNotNull(bound);
+        assertNull(bound.value());
+        assertEquals(1, mFixture.startedCount());
+    }
+
+    /** Guards against bounds of workers that are gone and that stay in the store. */
+    @Test
+    void theBoundIsRemovedWithTheRunsOfTheWorker() {
+        mFixture.startDispatcher(1);
+        FakeWorker gone = startJob();
+        gone.refusesConnections = true;
+        mFixture.mLoop.advance(12_000);
+        assertEquals(2, mFixture.startedCount());
+        KeyedRecord bound = newestBound(gone);
+        assertNotNull(bound);
+        assertNull(bound.value());
+    }
+}
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,10 +22,12 @@
 import org.hornbeamward.dispatch.port.WorkerControl.RunReport;
 import org.hornbeamward.dispatch.port.WorkerEntry;
 import org.hornbeamward.dispatch.store.FencedWriter;
+import org.hornbeamward.dispatch.store.RecordHandler;
 import org.hornbeamward.dispatch.store.TopicFollower;
 import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.lib.FailureDomainId;
 import org.hornbeamward.lib.JobId;
+import org.hornbeamward.lib.WorkerId;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -106,6 +109,13 @@
     private boolean mReady;
     private boolean mPassScheduled;
     private boolean mAwaitingConfirmation;
+    private boolean mLeaseBoundChanged;
+
+    /** Workers whose stored lease bounds belong to no session. */
+    private final Set<WorkerId> mObsoleteLeaseBounds = new LinkedHashSet<>();
+
+    /** Monotonic time at which all progress records of earlier leaders had been written. */
+    private long mEarlierRecordsEndMillis = Long.MAX_VALUE;
 
     /** Monotonic time after which no earlier leader grants a lease. */
     private long mEarlierGrantsEndMillis = Long.MAX_VALUE;
@@ -164,7 +174,7 @@
         mWriter.append(
                 List.of(KEEP_ALIVE_RECORD),
                 () -> {
-                    mEarlierGrantsEndMillis = earlierGrantsEndMillis();
+                    noteEarlierLeaders();
                     mProgressFollower.start();
                     mJobsFollower.start();
                     mWorkers.start();
@@ -172,20 +182,27 @@
                 });
     }
 
-    /** Returns the time after which no earlier leader grants a lease; now they are fenced. */
-    private long earlierGrantsEndMillis() {
+    /** Determines until when earlier leaders have acted; now they are fenced. */
+    private void noteEarlierLeaders() {
         long now = mLoop.nowMillis();
-        return switch (mFormerLeader) {
-            case FormerLeader.Unknown unknown -> now + MAX_RENEWAL_UNCONFIRMED_MILLIS;
+        mEarlierRecordsEndMillis = now;
+        mEarlierGrantsEndMillis = now + MAX_RENEWAL_UNCONFIRMED_MILLIS;
+        switch (mFormerLeader) {
+            case FormerLeader.Unknown unknown -> {}
             case FormerLeader.Resigned resigned ->
-                    Math.max(now, resigned.firstSeenMillis() + MAX_RENEWAL_UNCONFIRMED_MILLIS);
+                    mEarlierGrantsEndMillis =
+                            Math.max(
+                                    now,
+                                    resigned.firstSeenMillis() + MAX_RENEWAL_UNCONFIRMED_MILLIS);
             case FormerLeader.Silent silent -> {
-                // The fencing record is the first one after those that the entry knew of.
-                boolean appendedNothing = mWriter.endOffset() == silent.progressOffset() + 1;
-                yield (appendedNothing ? silent.sinceMillis() : now)
-                        + MAX_RENEWAL_UNCONFIRMED_MILLIS;
+                // The fencing record follows directly on the last one that the entry knew of,
+                // unless the former leader has appended others meanwhile.
+                if (mWriter.endOffset() == silent.progressOffset() + 1) {
+                    mEarlierRecordsEndMillis = silent.sinceMillis();
+                    mEarlierGrantsEndMillis = silent.sinceMillis() + MAX_RENEWAL_UNCONFIRMED_MILLIS;
+                }
             }
-        };
+        }
     }
 
     /**
@@ -309,6 +326,7 @@
         int inherited = 0;
         mProgress.remove(KEEP_ALIVE_KEY);
         restoreInterference(mProgress.remove(INTERFERENCE_KEY));
+        Map<WorkerId, byte[]> leaseBounds = removeLeaseBounds();
         for (Map.Entry<String, byte[]> entry : mProgress.entrySet()) {
             try {
                 inherited += inherit(entry.getKey(), entry.getValue());
@@ -317,6 +335,7 @@
             }
         }
         mProgress = new HashMap<>();
+        leaseBounds.forEach(this::restoreLeaseBound);
         for (Job job : new ArrayList<>(mJobs.all())) {
             job.endedMillis = mLoop.nowMillis();
             mStatusListener.phaseChanged(
@@ -331,6 +350,35 @@
         tick();
     }
 
+    /** Removes the lease bounds from the loaded progress and returns them. */
+    private Map<WorkerId, byte[]> removeLeaseBounds() {
+        Map<WorkerId, byte[]> bounds = new LinkedHashMap<>();
+        mProgress
+                .entrySet()
+                .removeIf(
+                        entry ->
+                                LeaseBound.parseKey(entry.getKey())
+                                        .peek(worker -> bounds.put(worker, entry.getValue()))
+                                        .isDefined());
+        return bounds;
+    }
+
+    private void restoreLeaseBound(WorkerId id, byte[] value) {
+        WorkerSession worker = mWorkers.get(id);
+        try {
+            LeaseBound bound = LeaseBound.decode(value);
+            if (worker != null
+                    && worker.incarnationStartWallMillis() == bound.incarnationStartWallMillis()) {
+                worker.restoreLeaseBound(bound, mEarlierRecordsEndMillis);
+                return;
+            }
+        } catch (Reader.MalformedInputException e) {
+            LogEvent.RECORD_SKIPPED.log(e, "lease bound of worker " + id + " cannot be read");
+        }
+        mObsoleteLeaseBounds.add(id);
+        mLeaseBoundChanged = true;
+    }
+
     private void restoreInterference(byte @Nullable [] value) {
         mInterferenceSavedMillis = mLoop.nowMillis();
         if (value == null) {
@@ -432,6 +480,7 @@
         } else {
             worker.repeatOrders();
         }
+        mLeaseBoundChanged |= worker.isLeaseBoundDue();
     }
 
     private void loseWorker(WorkerSession worker, String reason) {
@@ -494,7 +543,7 @@
                 mUncommittedStarts.add(run);
                 mJobs.markChanged(run.task.step.job);
             }
-            if (mJobs.hasChanges()) {
+            if (mJobs.hasChanges() || mLeaseBoundChanged) {
                 commit();
             } else {
                 mWorkers.all().forEach(worker -> worker.endsStored(worker.seenEndNumber()));
@@ -520,11 +569,37 @@
             mInterferenceSavedMillis = mLoop.nowMillis();
             records.add(new KeyedRecord(INTERFERENCE_KEY, mFillerController.encodeLearned()));
         }
+        List<WorkerSession> answering = addLeaseBounds(records);
         if (records.isEmpty()) {
             // The keep-alive record shows followers in the store that the leader is alive.
             records.add(KEEP_ALIVE_RECORD);
         }
-        mWriter.append(records, () -> committed(phases, starts, ends));
+        mWriter.append(
+                records,
+                () -> {
+                    answering.forEach(WorkerSession::leaseBoundRemoved);
+                    committed(phases, starts, ends);
+                });
+    }
+
+    /**
+     * Adds the lease bounds of silent workers and removes those of workers that answer again.
+     *
+     * @return the workers whose leases may be renewed after the commit
+     */
+    private List<WorkerSession> addLeaseBounds(List<KeyedRecord> records) {
+        mLeaseBoundChanged = false;
+        mObsoleteLeaseBounds.forEach(id -> records.add(LeaseBound.removal(id)));
+        mObsoleteLeaseBounds.clear();
+        List<WorkerSession> answering = new ArrayList<>();
+        for (WorkerSession worker : mWorkers.all()) {
+            worker.takeLeaseBound().ifPresent(bound -> records.add(bound.toRecord(worker.id())));
+            if (worker.isLeaseBoundStored() && !worker.needsLeaseBound()) {
+                records.add(LeaseBound.removal(worker.id()));
+                answering.add(worker);
+            }
+        }
+        return answering;
     }
 
     private void committed(
@@ -581,6 +656,10 @@
         if (run.stopping || run.task.step.job.terminal()) {
             return "the job ended before the order was sent";
         }
+        if (run.worker.silent()) {
+            // The order would prolong leases that are bounded in the store.
+            return "the worker does not answer";
+        }
         if (run.worker.entry().draining() || mScheduler.isOut(run.worker.entry().domain())) {
             return "the worker is leaving or its failure domain is out";
         }
@@ -764,11 +843,26 @@
         depose("worker " + worker.id() + " has seen a higher fencing token than " + mEpoch);
     }
 
+    @Override
+    public void leaseBoundChanged() {
+        mLeaseBoundChanged = true;
+        requestPass();
+    }
+
     @Override
     public void addressTaken(WorkerSession worker) {
         if (mWorkers.get(worker.id()) == worker) {
             loseWorker(worker, "another worker answers at its address");
             mWorkers.remove(worker);
+            dropLeaseBound(worker);
+        }
+    }
+
+    /** Has the lease bound of a closed session removed from the store. */
+    private void dropLeaseBound(WorkerSession worker) {
+        if (worker.isLeaseBoundStored()) {
+            mObsoleteLeaseBounds.add(worker.id());
+            leaseBoundChanged();
         }
     }
 
@@ -785,6 +879,7 @@
      * gives up those that have ended with the earlier one.
      */
     private void moveRuns(WorkerSession ended, WorkerSession successor) {
+        dropLeaseBound(ended);
         int movedCount = 0;
         int endedCount = 0;
         for (Run run : new ArrayList<>(ended.runs())) {
@@ -850,19 +945,14 @@
     private final class JobsListener implements TopicFollower.Listener {
         @Override
         public void loaded(Map<String, byte[]> newest) {
-            newest.forEach(this::apply);
+            RecordHandler.handleAll(newest, this::apply);
             takeOverIfLoaded();
             requestPass();
         }
 
         @Override
         public void changed(List<KeyedRecord> records) {
-            for (KeyedRecord record : records) {
-                byte[] value = record.value();
-                if (value != null) {
-                    apply(record.key(), value);
-                }
-            }
+            RecordHandler.handleAll(records, this::apply);
             Dispatcher.this.requestPass();
         }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
@@ -85,6 +86,12 @@
      */
     private static final int NO_RENEWAL_POLL_COUNT = 2;
 
+    /**
+     * Interval at which the stored lease bound of a silent worker is brought up to date. A
+     * successor waits longer by up to this time, since it does not know when the bound was written.
+     */
+    private static final long LEASE_BOUND_INTERVAL_MILLIS = 200;
+
     /** How long a worker is avoided after its runs were last seen to be slow. */
     private static final long SLOW_AVOIDED_MILLIS = 3_000;
 
@@ -142,6 +149,9 @@
         /** The worker has seen a higher fencing token. */
         void fenced(WorkerSession worker);
 
+        /** The lease bound of the worker has to be stored or removed. */
+        void leaseBoundChanged();
+
         /** Another worker answers at the address of this one. */
         void addressTaken(WorkerSession worker);
 
@@ -191,6 +201,8 @@
     private long mClockReadingMillis;
 
     private long mClockReadAtMillis;
+
+    /** Time on the worker's clock until which the orders and polls that it may have got lease. */
     private long mLeaseDeadlineClockMillis;
 
     /** Time on the worker's clock until which the poll in flight leases; 0 for none. */
@@ -202,6 +214,11 @@
     /** Longest lease that a worker may have been granted in another session. */
     private long mInheritedLeaseMillis;
 
+    /** Whether a lease bound may be stored, so that no lease may be renewed. */
+    private boolean mLeaseBoundStored;
+
+    private long mLeaseBoundMillis = Long.MIN_VALUE / 2;
+
     /** Whether a poll has been answered. */
     private boolean mReached;
 
@@ -596,14 +613,15 @@
         mPollSentMillis = sentMillis;
         // A poll without an answer may have renewed the leases, so the polls of a silent worker
         // stop renewing them and they lapse.
-        boolean renews = mFailedPollCount < NO_RENEWAL_POLL_COUNT;
+        boolean renews = mFailedPollCount < NO_RENEWAL_POLL_COUNT && !mLeaseBoundStored;
         long leaseMillis = renews ? mSupervisor.leaseMillis() : 0;
         Long deadlineClockMillis = leaseMillis > 0 ? clockNowMillis() + leaseMillis : null;
         mOfferedLeaseClockMillis = deadlineClockMillis == null ? 0 : deadlineClockMillis;
         boolean unresolved = mRuns.values().stream().anyMatch(this::isUnresolved);
         boolean shared = mUsage.longRunningCpuMillicores() > 0 && mUsage.fillerCpuMillicores() > 0;
+        // A silent worker answers at once, so that its leases are renewed again soon.
         long waitMillis =
-                unresolved || mRuns.isEmpty()
+                unresolved || silent() || mRuns.isEmpty()
                         ? 0
                         : shared ? SHARED_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
         long acknowledged = mStoredEndNumber;
@@ -650,6 +668,7 @@
                 if (mFailedPollCount > 0) {
                     LogEvent.WORKER_REACHED.log(mId, mFailedPollCount);
                     mFailedPollCount = 0;
+                    mSupervisor.leaseBoundChanged();
                 }
                 mAcknowledgedEndNumber = Math.max(mAcknowledgedEndNumber, acknowledged);
                 noteClock(seen.clockMillis());
@@ -672,6 +691,7 @@
     private void pollFailed(String reason) {
         if (mFailedPollCount++ == 0) {
             LogEvent.WORKER_SILENT.log(mId, reason);
+            mSupervisor.leaseBoundChanged();
         }
         mLoop.schedule(POLL_RETRY_MILLIS, this::poll);
     }
@@ -723,15 +743,73 @@
 
     /** Returns whether all leases that any leader has granted must have lapsed on the worker. */
     boolean leasesLapsed() {
-        long now = mLoop.nowMillis();
+        return mLoop.nowMillis() > leaseEndMillis();
+    }
+
+    /** Returns the monotonic time after which all leases must have lapsed on the worker. */
+    private long leaseEndMillis() {
         long deadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, mOfferedLeaseClockMillis);
-        return now > mInheritedLeaseEndMillis && now > passedAtMillis(deadlineClockMillis);
+        return Math.max(mInheritedLeaseEndMillis, passedAtMillis(deadlineClockMillis));
     }
 
     boolean silent() {
         return mFailedPollCount > 0;
     }
 
+    /** Returns whether a lease bound of the worker may be stored. */
+    boolean isLeaseBoundStored() {
+        return mLeaseBoundStored;
+    }
+
+    /**
+     * Returns the lease bound to store with the next commit, if it is missing or out of date. From
+     * now on no lease is renewed until {@link #leaseBoundRemoved}.
+     */
+    Optional<LeaseBound> takeLeaseBound() {
+        if (!isLeaseBoundDue()) {
+            return Optional.empty();
+        }
+        long now = mLoop.nowMillis();
+        mLeaseBoundStored = true;
+        mLeaseBoundMillis = now;
+        return Optional.of(
+                new LeaseBound(mIncarnationStartWallMillis, Math.max(0, leaseEndMillis() - now)));
+    }
+
+    /** Returns whether the lease bound has to be stored or brought up to date. */
+    boolean isLeaseBoundDue() {
+        return needsLeaseBound()
+                && mLoop.nowMillis() - mLeaseBoundMillis >= LEASE_BOUND_INTERVAL_MILLIS;
+    }
+
+    /**
+     * Returns whether a successor would have to wait for the leases of the worker: it does not
+     * answer, or it did not answer the previous leader and has not been reached since.
+     */
+    boolean needsLeaseBound() {
+        return !mRuns.isEmpty() && (silent() || (mLeaseBoundStored && !mReached));
+    }
+
+    /** Records that no lease bound is stored any more, so that leases may be renewed. */
+    void leaseBoundRemoved() {
+        mLeaseBoundStored = false;
+        mLeaseBoundMillis = Long.MIN_VALUE / 2;
+    }
+
+    /**
+     * Applies the lease bound that a previous leader has stored.
+     *
+     * @param bound the bound
+     * @param writtenByMillis monotonic time at which it had certainly been written
+     */
+    void restoreLeaseBound(LeaseBound bound, long writtenByMillis) {
+        mLeaseBoundStored = true;
+        mInheritedLeaseEndMillis =
+                Math.min(
+                        mInheritedLeaseEndMillis,
+                        writtenByMillis + toOwnClock(bound.remainingMillis()));
+    }
+
     /**
      * Bounds the inherited leases at the first answer. The worker has seen this leader's fencing
      * token, so that it refuses later renewals by others, and those before started no later.
