--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -147,6 +147,25 @@
         assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
     }
 
+    /**
+     * Guards against a done task that runs again: a poll that repeated the acknowledgement of the
+     * ended incarnation made the restarted worker forget the end of its first run.
+     */
+    @Test
+    void anEndOfARestartedWorkerIsNotAcknowledgedWithThoseOfTheEndedIncarnation() {
+        setTaskMillis(300);
+        mFixture.startDispatcher(1);
+        JobId first = mFixture.submit("first", LeaderFixture.step(8, 1_000));
+        mFixture.mLoop.advance(3_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(first));
+        restartAll();
+        mFixture.mLoop.advance(50);
+        JobId second = mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(3_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(second));
+        assertEquals(9, mFixture.startedCount());
+    }
+
     /** Guards against tasks that wait for a worker whose address another worker has taken. */
     @Test
     void tasksOfAWorkerWhoseAddressIsTakenStartElsewhere() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -624,7 +624,8 @@
                 unresolved || silent() || mRuns.isEmpty()
                         ? 0
                         : shared ? SHARED_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
-        long acknowledged = mStoredEndNumber;
+        // A repeated acknowledgement would make a worker that has restarted forget its first ends.
+        long acknowledged = mAcknowledgedEndNumber < mStoredEndNumber ? mStoredEndNumber : 0;
         guarded(
                         () ->
                                 mControl.poll(
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
@@ -212,7 +212,8 @@
      * @param deadlineClockMillis time on the worker's clock until which the leases last; null to
      *     leave them unchanged
      * @param fencingToken the leader's epoch
-     * @param acknowledgedEnd number of the last end that is stored and may be forgotten
+     * @param acknowledgedEnd number of the last end that is stored and may be forgotten; 0 to
+     *     acknowledge none
      * @param waitMillis how long the worker waits for an end if there is none
      * @param timeoutMillis how long to wait for the answer, including the worker's wait
      * @return the worker's runs and ends, or why they are not known
