--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaseBoundTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaseBoundTest.java
@@ -127,6 +127,29 @@
         assertEquals(1, mFixture.startedCount());
     }
 
+    /**
+     * Guards against a bound that stays in the store without a session: a successor would rely on
+     * it although the worker has come back and its leases are renewed again.
+     */
+    @Test
+    void theBoundOfAWorkerThatIsRemovedDuringAStoreOutageIsRemovedToo() {
+        mFixture.startDispatcher(1);
+        FakeWorker gone = startJob();
+        gone.refusesConnections = true;
+        mFixture.mLoop.advance(1_000);
+        mFixture.mStore
+                .records(Topic.WORKERS)
+                .add(new KeyedRecord(gone.entry().id().value(), null));
+        mFixture.mLoop.advance(1_500);
+        mFixture.mStore.down = true;
+        mFixture.mLoop.advance(12_000);
+        mFixture.mStore.down = false;
+        mFixture.mLoop.advance(5_000);
+        KeyedRecord bound = newestBound(gone);
+        assertNotNull(bound);
+        assertNull(bound.value());
+    }
+
     /** Guards against bounds of workers that are gone and that stay in the store. */
     @Test
     void theBoundIsRemovedWithTheRunsOfTheWorker() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -656,9 +656,9 @@
         if (run.stopping || run.task.step.job.terminal()) {
             return "the job ended before the order was sent";
         }
-        if (run.worker.silent()) {
+        if (run.worker.silent() || run.worker.isLeaseBoundStored()) {
             // The order would prolong leases that are bounded in the store.
-            return "the worker does not answer";
+            return "the worker does not answer, or did not until now";
         }
         if (run.worker.entry().draining() || mScheduler.isOut(run.worker.entry().domain())) {
             return "the worker is leaving or its failure domain is out";
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerRegistry.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerRegistry.java
@@ -205,7 +205,7 @@
         if (worker == null || worker.listed || !mOpen) {
             return;
         }
-        if (worker.runs().isEmpty()) {
+        if (worker.runs().isEmpty() && !worker.isLeaseBoundStored()) {
             remove(worker);
         } else {
             scheduleRemoval(id);
