--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
@@ -73,7 +73,7 @@
          */
         record NotDone(String reason) implements OrderOutcome {}
 
-        /** Another incarnation of the worker answered. */
+        /** Another worker answered at the address. */
         record OtherLife() implements OrderOutcome {}
 
         /**
@@ -144,7 +144,7 @@
         /** The worker has seen a higher fencing token. */
         record Fenced() implements PollOutcome {}
 
-        /** Another incarnation of the worker answered. */
+        /** Another worker answered at the address. */
         record OtherLife() implements PollOutcome {}
 
         /**
