Count appends at the client in the test of lost responses

Cause: the test compared the sends that the appender counts with the requests that arrived at the stand-in, and a request whose timeout of 250 ms ends while its connection is being made does not arrive. So the assertion depended on the speed of the machine.

The sends are now counted at the client, where they must equal batches plus resends whatever the machine does, and no more may arrive than were sent. Both a send that is not counted and one that a client repeats on its own still fail the test.

--- a/org.hornbeamward.storage.test/tst/org/hornbeamward/storage/log/BatchAppenderTest.java
+++ b/org.hornbeamward.storage.test/tst/org/hornbeamward/storage/log/BatchAppenderTest.java
@@ -5,13 +5,17 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
+import org.hornbeamward.errors.HornbeamwardError;
 import org.hornbeamward.kernel.Kernel;
 import org.hornbeamward.lib.JitteredBackoff;
 import org.hornbeamward.lib.MonotonicClock;
@@ -24,9 +28,38 @@
 
 /** Guards against commands that are lost, duplicated or reordered between appender and reader. */
 class BatchAppenderTest {
+    /** Counts the appends that are sent, whether or not they arrive. */
+    private static final class CountingLogClient implements LogClient {
+        private final LogClient mDelegate;
+        private final AtomicInteger mAppendCount = new AtomicInteger();
+
+        CountingLogClient(LogClient delegate) {
+            mDelegate = delegate;
+        }
+
+        @Override
+        public CompletableFuture<Either<HornbeamwardError, Long>> append(
+                String stream, byte[] record) {
+            mAppendCount.incrementAndGet();
+            return mDelegate.append(stream, record);
+        }
+
+        @Override
+        public CompletableFuture<Either<HornbeamwardError, LogRead>> read(
+                String stream, long fromOffset, int waitMillis, int maxBytes) {
+            return mDelegate.read(stream, fromOffset, waitMillis, maxBytes);
+        }
+
+        @Override
+        public CompletableFuture<Either<HornbeamwardError, LogBounds>> bounds(String stream) {
+            return mDelegate.bounds(stream);
+        }
+    }
+
     private final List<String> mOversizedCommands = new CopyOnWriteArrayList<>();
     private LogStandIn mLog;
     private HttpLogClient mClient;
+    private CountingLogClient mCountingClient;
     private BatchAppender<String> mAppender;
     private Kernel mKernel;
 
@@ -34,9 +67,10 @@
     void start() throws InterruptedException {
         mLog = new LogStandIn(0);
         mClient = new HttpLogClient("127.0.0.1", mLog.port(), 250);
+        mCountingClient = new CountingLogClient(mClient);
         mAppender =
                 new BatchAppender<>(
-                        mClient,
+                        mCountingClient,
                         "control",
                         8192,
                         5,
@@ -94,8 +128,11 @@
         }
         assertEquals(expected, deduplicatedCommands());
         assertTrue(mAppender.resendCount() > 0, "the seed loses some responses");
-        long appends = mLog.events().countOf("append");
-        assertEquals(mAppender.batchCount() + mAppender.resendCount(), appends);
+        int sentCount = mCountingClient.mAppendCount.get();
+        assertEquals(mAppender.batchCount() + mAppender.resendCount(), sentCount);
+        // A request that times out while its connection is made does not arrive.
+        long arrivedCount = mLog.events().countOf("append");
+        assertTrue(arrivedCount <= sentCount, arrivedCount + " of " + sentCount + " arrived");
     }
 
     @Test
