Name the worker's incarnation in the log lines of runs

The users' record of two runs at once names workers by id only, and so did the lines that the leader writes about a run. They could not tell whether two runs on one id belonged to one incarnation of the worker or to two, which separates the first hypothesis (a worker that restarted under its id) from the other two (a wrong conclusion from an answer or a list).

The texts that precede the incarnation are unchanged.

Decisions are unchanged.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -639,7 +639,11 @@
         for (Run run = mOrders.take(); run != null; run = mOrders.take()) {
             String reason = reasonNotToStart(run);
             if (reason == null) {
-                LogEvent.TASK_ORDERED.log(run.task.name, run.attempt, run.worker.id());
+                LogEvent.TASK_ORDERED.log(
+                        run.task.name,
+                        run.attempt,
+                        run.worker.id(),
+                        run.worker.incarnationStartWallMillis());
                 mOrders.sent(run.worker.id());
                 run.worker.start(run);
             } else if (run.task.run == run) {
@@ -752,7 +756,12 @@
 
     @Override
     public void runEnded(WorkerSession worker, EndReport end) {
-        LogEvent.TASK_ENDED.log(end.task(), end.attempt(), worker.id(), end.kind());
+        LogEvent.TASK_ENDED.log(
+                end.task(),
+                end.attempt(),
+                worker.id(),
+                worker.incarnationStartWallMillis(),
+                end.kind());
         mMetrics.recordRunEnd(end.kind().name());
         requestPass();
         TaskName name = end.task();
@@ -822,7 +831,8 @@
 
     @Override
     public void unknownRun(WorkerSession worker, RunReport report) {
-        LogEvent.UNKNOWN_RUN.log(report.task(), report.attempt(), worker.id());
+        LogEvent.UNKNOWN_RUN.log(
+                report.task(), report.attempt(), worker.id(), worker.incarnationStartWallMillis());
         mControl.stop(
                         worker.entry(),
                         report.task(),
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -130,6 +130,12 @@
 
     @Override
     public String toString() {
-        return task.name + " attempt " + attempt + " on " + worker.id();
+        return task.name
+                + " attempt "
+                + attempt
+                + " on "
+                + worker.id()
+                + " incarnation "
+                + worker.incarnationStartWallMillis();
     }
 }
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -91,9 +91,9 @@
     /** A request was refused. */
     REQUEST_REFUSED(511, Level.INFO, "request for job {} refused with {}: {}"),
     /** A worker is ordered to start a task. */
-    TASK_ORDERED(512, Level.INFO, "task {} attempt {} ordered on worker {}"),
+    TASK_ORDERED(512, Level.INFO, "task {} attempt {} ordered on worker {} incarnation {}"),
     /** A run has ended. */
-    TASK_ENDED(513, Level.INFO, "task {} attempt {} on worker {} ended: {}"),
+    TASK_ENDED(513, Level.INFO, "task {} attempt {} on worker {} incarnation {} ended: {}"),
     /** A job reached its final phase. */
     JOB_ENDED(514, Level.INFO, "job {} is {} after {} ms"),
     /** A job is cancelled. */
@@ -106,7 +106,9 @@
     ORDER_REJECTED(518, Level.WARN, "order {} for {} was rejected: {}"),
     /** A worker reports a run that the leader does not know; the run is stopped. */
     UNKNOWN_RUN(
-            519, Level.WARN, "task {} attempt {} is stopped on worker {}: nothing is known of it"),
+            519,
+            Level.WARN,
+            "task {} attempt {} is stopped on worker {} incarnation {}: nothing is known of it"),
     /** The pace of a run is changed. */
     RUN_PACED(520, Level.INFO, "run {} is paced from {} to {} percent"),
     /** A filler is stopped to resume on another worker. */
