Reject submissions whose sizes or times overflow

Sums of estimates and due times overflow: occurrences with start_at_ms near the largest long are all due at once.

Cause: the decoder cast to int, and only negative amounts were rejected.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/JobSpec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/JobSpec.java
@@ -25,6 +25,9 @@
      */
     public static final int MAX_TASK_COUNT = 3_500;
 
+    /** Latest time and longest interval: the end of the year 9999 in Unix milliseconds. */
+    private static final long MAX_TIME_MILLIS = 253_402_300_799_999L;
+
     /** Copies the steps. */
     public JobSpec {
         steps = List.copyOf(steps);
@@ -42,6 +45,9 @@
         if (repeatCount < 0 || intervalMillis < 0 || firstDueWallMillis < 0) {
             return Optional.of("the number of occurrences or a time is negative");
         }
+        if (intervalMillis > MAX_TIME_MILLIS || firstDueWallMillis > MAX_TIME_MILLIS) {
+            return Optional.of("a time is later than the year 9999");
+        }
         long taskCount = 0;
         for (int number = 0; number < steps.size(); number++) {
             Optional<String> problem = steps.get(number).problem(number);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/StepSpec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/StepSpec.java
@@ -47,6 +47,12 @@
     /** Millicores in a core. */
     public static final double MILLICORES_PER_CORE = 1_000.0;
 
+    /** Largest amount of one resource; far above any machine, so that no sum overflows. */
+    private static final long MAX_AMOUNT = 1_000_000_000;
+
+    /** Longest duration, about 30 years, so that no sum overflows. */
+    private static final long MAX_DURATION_MILLIS = 1_000_000_000_000L;
+
     /** Copies the dependencies. */
     public StepSpec {
         dependencies = List.copyOf(dependencies);
@@ -66,9 +72,21 @@
         if (size.cpuMillicores() < 0 || size.memoryMib() < 0 || size.acceleratorCount() < 0) {
             return Optional.of("step " + number + " asks for a negative size");
         }
-        if (estimateMillis < 0 || maxPerWorker < 0 || tailTargetMillis < 0) {
+        if (size.cpuMillicores() > MAX_AMOUNT
+                || size.memoryMib() > MAX_AMOUNT
+                || size.acceleratorCount() > MAX_AMOUNT) {
+            return Optional.of("step " + number + " asks for more than " + MAX_AMOUNT);
+        }
+        if (estimateMillis < 0
+                || maxPerWorker < 0
+                || tailTargetMillis < 0
+                || maxUnavailableCount < 0) {
             return Optional.of("step " + number + " has a negative limit or duration");
         }
+        if (estimateMillis > MAX_DURATION_MILLIS || tailTargetMillis > MAX_DURATION_MILLIS) {
+            return Optional.of(
+                    "a duration of step " + number + " exceeds " + MAX_DURATION_MILLIS + " ms");
+        }
         for (int dependency : dependencies) {
             if (dependency < 0 || dependency >= number) {
                 return Optional.of("depends_on of step " + number + " names no earlier step");
