Skip entries with an impossible start time or another address

What could happen: an entry of another writer that has the right shape and stands under the id of a worker. One whose start time lies a year ahead ended the session with the worker: its run was given up and started again while it ran (3 starts instead of 2 in the test), and all later entries of the worker were ignored as older ones. One with another address for the present incarnation redirected all orders and polls.

Cause: WorkerRegistry compared start times only with each other and took over the address of every entry of the present incarnation.

Evidence: OddWorkerEntryTest, 2 of 3 tests failed before. The third one, an odd address that is read first, passed at once and stays.

Conclusion: what cannot be told from a restart stays: an entry of the right shape with a later and possible start time counts as a restart.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
@@ -33,6 +33,9 @@
     /** Largest number of start orders that waited for an answer at the same time. */
     public int maxStartsInFlightCount;
 
+    /** Address that the last call to each worker named, by the worker's id. */
+    public final Map<String, String> lastAddresses = new LinkedHashMap<>();
+
     /** Number of polls. */
     public int pollCount;
 
@@ -70,6 +73,7 @@
             Supplier<CompletableFuture<T>> action) {
         CompletableFuture<T> answer = new CompletableFuture<>();
         FakeWorker worker = get(entry.id().value());
+        lastAddresses.put(entry.id().value(), entry.address());
         if (worker.callsThrow) {
             throw new IllegalArgumentException("port 99999 is out of range");
         }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,10 +30,14 @@
     /** Key of an entry whose decoding fails unexpectedly. */
     static final String ODD_WORKER = "odd";
 
+    /** First byte of a record that names one of the odd entries. */
+    private static final byte ODD_ENTRY = 0;
+
     final VirtualLoop mLoop = new VirtualLoop();
     final FakeStore mStore = new FakeStore(mLoop);
     final FakeWorkers mWorkers = new FakeWorkers(mLoop);
     final Map<JobId, JobPhase> mPhases = new HashMap<>();
+    private final List<WorkerEntry> mOddEntries = new ArrayList<>();
 
     LeaderFixture() {
         mWorkers.add("w1", 4_000);
@@ -46,6 +51,13 @@
                 .add(new KeyedRecord(worker, worker.getBytes(StandardCharsets.UTF_8)));
     }
 
+    /** Adds an entry that another writer has written under the id of a worker. */
+    void registerOddEntry(WorkerEntry entry) {
+        mOddEntries.add(entry);
+        byte[] value = {ODD_ENTRY, (byte) (mOddEntries.size() - 1)};
+        mStore.records(Topic.WORKERS).add(new KeyedRecord(entry.id().value(), value));
+    }
+
     /** Adds an entry before those of the workers whose decoding fails unexpectedly. */
     void addOddWorkerEntryBeforeAll() {
         mStore.records(Topic.WORKERS).add(0, new KeyedRecord(ODD_WORKER, new byte[] {1}));
@@ -170,6 +182,7 @@
         if (key.equals(ODD_WORKER)) {
             throw new StackOverflowError("the entry is nested too deeply");
         }
-        return Either.right(mWorkers.get(key).entry());
+        return Either.right(
+                value[0] == ODD_ENTRY ? mOddEntries.get(value[1]) : mWorkers.get(key).entry());
     }
 }
--- /dev/null
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/OddWorkerEntryTest.java
@@ -0,0 +1,107 @@
+package org.hornbeamward.dispatch.lead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.hornbeamward.dispatch.fake.FakeWorker;
+import org.hornbeamward.dispatch.job.JobPhase;
+import org.hornbeamward.dispatch.port.WorkerEntry;
+import org.hornbeamward.lib.JobId;
+import org.junit.jupiter.api.Test;
+
+/** Entries of another writer that can be decoded and stand under the id of a worker. */
+class OddWorkerEntryTest {
+    private static final long YEAR_MILLIS = 365L * 24 * 3_600_000;
+
+    private final LeaderFixture mFixture = new LeaderFixture();
+    private final FakeWorker mFirst = mFixture.mWorkers.get("w1");
+    private final FakeWorker mSecond = mFixture.mWorkers.get("w2");
+
+    private static WorkerEntry oddEntry(WorkerEntry entry, long startWallMillis, String address) {
+        return new WorkerEntry(
+                entry.id(),
+                startWallMillis,
+                entry.pool(),
+                address,
+                entry.domain(),
+                entry.rack(),
+                entry.labels(),
+                entry.capacity(),
+                entry.draining(),
+                entry.drainLeftMillis(),
+                entry.clockMillis());
+    }
+
+    private void writeEntriesFor(long millis) {
+        for (long passedMillis = 0; passedMillis < millis; passedMillis += 1_500) {
+            mFixture.registerWorker("w1");
+            mFixture.registerWorker("w2");
+            mFixture.mLoop.advance(1_500);
+        }
+    }
+
+    /**
+     * Guards against an entry with a start time in the far future that ends the session with the
+     * worker, so that its work is started again while it runs, and hides all its later entries.
+     */
+    @Test
+    void anEntryWithAStartTimeInTheFarFutureChangesNothing() {
+        mFirst.taskMillis = 20_000;
+        mSecond.taskMillis = 20_000;
+        mFixture.startDispatcher(1);
+        JobId job = mFixture.submit("job", LeaderFixture.step(2, 3_000));
+        mFixture.mLoop.advance(3_000);
+        assertEquals(2, mFixture.runningCount());
+
+        long futureMillis = mFixture.mLoop.wallMillis() + YEAR_MILLIS;
+        mFixture.registerOddEntry(oddEntry(mFirst.entry(), futureMillis, "elsewhere"));
+        writeEntriesFor(25_000);
+
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+        assertEquals(2, mFixture.startedCount());
+    }
+
+    /**
+     * Guards against an entry that names another address for an incarnation that answers at its
+     * own, so that orders go elsewhere and its runs are given up while they go on.
+     */
+    @Test
+    void anEntryWithAnotherAddressForAWorkerThatAnswersChangesNothing() {
+        mFirst.taskMillis = 5_000;
+        mSecond.taskMillis = 5_000;
+        Dispatcher dispatcher = mFixture.startDispatcher(1);
+        JobId job = mFixture.submit("job", LeaderFixture.step(2, 3_000));
+        mFixture.mLoop.advance(3_000);
+        assertEquals(2, mFixture.runningCount());
+
+        WorkerEntry entry = mFirst.entry();
+        mFixture.registerOddEntry(oddEntry(entry, entry.incarnationStartWallMillis(), "elsewhere"));
+        mFixture.mLoop.advance(1_000);
+
+        assertTrue(
+                mFixture.mWorkers.lastAddresses.values().stream().noneMatch("elsewhere"::equals));
+        writeEntriesFor(6_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+        assertEquals(2, mFixture.startedCount());
+        assertTrue(dispatcher.isReady());
+    }
+
+    /**
+     * Guards against a worker that is never used because an odd entry with another address was read
+     * before its own.
+     */
+    @Test
+    void anEntryWithAnotherAddressThatWasReadFirstIsReplacedByTheWorkersOwn() {
+        WorkerEntry entry = mFirst.entry();
+        mFixture.registerOddEntry(oddEntry(entry, entry.incarnationStartWallMillis(), "elsewhere"));
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(500);
+        mFixture.registerWorker("w1");
+        mFixture.mLoop.advance(1_000);
+        JobId job = mFixture.submit("job", LeaderFixture.step(2, 3_000));
+        mFixture.mLoop.advance(3_000);
+
+        assertEquals("w1", mFixture.mWorkers.lastAddresses.get("w1"));
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
+}
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerRegistry.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerRegistry.java
@@ -1,5 +1,6 @@
 package org.hornbeamward.dispatch.lead;
 
+import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -39,6 +40,13 @@
      */
     private static final long UNLISTED_GRACE_MILLIS = 2_000;
 
+    /**
+     * How far the start time of an incarnation may lie ahead of this process's time of day. Clocks
+     * of the platform jump by seconds; a start time in the far future would hide every later
+     * incarnation.
+     */
+    private static final long MAX_START_AHEAD_MILLIS = 24 * 3_600_000L;
+
     /** Receives changes of the entries. */
     interface Listener {
         /** All entries were read. */
@@ -153,10 +161,34 @@
         }
         mDocuments
                 .decodeWorkerEntry(key, value)
+                .flatMap(this::plausible)
                 .peek(this::applyEntry)
                 .peekLeft(reason -> LogEvent.RECORD_SKIPPED.log(key + ": " + reason));
     }
 
+    /**
+     * Rejects an entry that contradicts what is known: an incarnation has one address, and the one
+     * at which it answers is its own.
+     */
+    private Either<String, WorkerEntry> plausible(WorkerEntry entry) {
+        long startMillis = entry.incarnationStartWallMillis();
+        if (startMillis > mLoop.wallMillis() + MAX_START_AHEAD_MILLIS) {
+            return Either.left("start time " + startMillis + " lies in the future");
+        }
+        WorkerSession worker = mWorkers.get(entry.id());
+        if (worker != null
+                && worker.incarnationStartWallMillis() == startMillis
+                && worker.answers()
+                && !worker.entry().address().equals(entry.address())) {
+            return Either.left(
+                    "address "
+                            + entry.address()
+                            + ", but it answers at "
+                            + worker.entry().address());
+        }
+        return Either.right(entry);
+    }
+
     private void applyEntry(WorkerEntry entry) {
         Loop.Timer timer = mUnlistedTimers.remove(entry.id());
         if (timer != null) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -757,6 +757,11 @@
         return mFailedPollCount > 0;
     }
 
+    /** Returns whether the worker has answered the last poll of this session. */
+    boolean answers() {
+        return mReached && !silent();
+    }
+
     /** Returns whether a lease bound of the worker may be stored. */
     boolean isLeaseBoundStored() {
         return mLeaseBoundStored;
