Answer pipelined requests in the order in which they were sent

HTTP/1.1 allows such requests.

Cause: HttpServer paused reading from the socket while it answered, but requests that had arrived in one packet were already decoded and were passed to the handler all the same. The rejection of a large body, which the aggregator sends by itself, overtook an earlier response too.

Change: a FlowControlHandler behind the codec keeps back what is decoded while reading is paused. A response that is there at once needs no pause; resuming from within the call would nest the handling of all requests of a packet (the test sends 5,000). Requests behind one that closes the connection are not carried out.

--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpServer.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpServer.java
@@ -26,6 +26,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
+import io.netty.handler.flow.FlowControlHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
@@ -147,6 +148,10 @@
                                         mConnections.add(channel);
                                         channel.pipeline()
                                                 .addLast(new HttpServerCodec())
+                                                // Keeps back what is decoded while reading is
+                                                // paused. It comes before the aggregator, which
+                                                // rejects large bodies by itself.
+                                                .addLast(new FlowControlHandler())
                                                 .addLast(new HttpObjectAggregator(maxBodyBytes))
                                                 .addLast(new RequestHandler(handler));
                                     }
@@ -199,6 +204,7 @@
 
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final HttpHandler mHandler;
+        private boolean mClosing;
 
         RequestHandler(HttpHandler handler) {
             mHandler = handler;
@@ -206,31 +212,36 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            if (mClosing) {
+                return;
+            }
             boolean keepAlive = HttpUtil.isKeepAlive(request);
             if (!request.decoderResult().isSuccess()) {
                 HttpReply reply = HttpReply.json(400, "{\"kind\":\"MalformedRequest\"}");
                 write(context, reply, false);
                 return;
             }
-            // Responses must be sent in the order of the requests, so reading is paused until the
-            // response to this request is written.
-            context.channel().config().setAutoRead(false);
             mInFlight.incrementAndGet();
-            invokeHandler(request)
-                    .whenComplete(
-                            (reply, failure) -> {
-                                HttpReply response =
-                                        failure == null ? reply : internalError(failure);
-                                if (context.executor().inEventLoop()) {
-                                    writeAndResume(context, response, keepAlive);
-                                } else {
-                                    context.executor()
-                                            .execute(
-                                                    () ->
-                                                            writeAndResume(
-                                                                    context, response, keepAlive));
-                                }
-                            });
+            CompletableFuture<HttpReply> answer = invokeHandler(request).toCompletableFuture();
+            // Responses must be sent in the order of the requests, so reading is paused until the
+            // response to this request is written. A response that is there already needs no pause;
+            // to resume from here would handle the next request within this call.
+            boolean paused = !answer.isDone();
+            if (paused) {
+                context.channel().config().setAutoRead(false);
+            }
+            answer.whenComplete(
+                    (reply, failure) -> {
+                        HttpReply response = failure == null ? reply : internalError(failure);
+                        if (!paused) {
+                            writeCounted(context, response, keepAlive);
+                        } else if (context.executor().inEventLoop()) {
+                            writeAndResume(context, response, keepAlive);
+                        } else {
+                            context.executor()
+                                    .execute(() -> writeAndResume(context, response, keepAlive));
+                        }
+                    });
         }
 
         private CompletionStage<HttpReply> invokeHandler(FullHttpRequest request) {
@@ -259,15 +270,22 @@
 
         private void writeAndResume(
                 ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+            writeCounted(context, reply, keepAlive);
+            context.channel().config().setAutoRead(true);
+        }
+
+        private void writeCounted(
+                ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
             // The request stays counted until its response is flushed, so that a graceful shutdown
             // does not cut off the response.
             write(context, reply, keepAlive && !mDraining)
                     .addListener(unused -> mInFlight.decrementAndGet());
-            context.channel().config().setAutoRead(true);
         }
 
         private ChannelFuture write(
                 ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+            // Requests behind the last response on a connection are not carried out.
+            mClosing |= !keepAlive || reply.status() == 0;
             if (reply.status() == 0) {
                 return context.close();
             }
