Ignore an answer of a worker that does not tell its clock

What could happen: a damaged answer to an order (status 200, no clock_ms) counted as a clock of 0. The deadlines of later orders then lie in the past, and the leases of a worker that is lost next seem to last for as long as the worker has been up: after a minute of work its task was not started again within 14 s.

Cause: WorkerSession.noteClock took over every value.

Evidence: WorkerClockTest.anAnswerWithoutAClockDoesNotProlongTheWaitForALostWorker failed before (1 start instead of 2).

Change: a clock of 0 means that the answer does not tell it.

Conclusion: the test passes.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -70,6 +70,15 @@
     /** How runs end. */
     public EndKind endKind = EndKind.DONE;
 
+    /** Number of start orders that were rejected because their deadline had passed. */
+    public int lateCount;
+
+    /** Longest time from the arrival of a start order until its deadline, on this clock. */
+    public long maxOrderValidMillis;
+
+    /** Whether the answers to orders lack the clock, as damaged ones do. */
+    public boolean omitsClock;
+
     /** The task of every start order that took effect. */
     public final List<TaskName> started = new ArrayList<>();
 
@@ -188,8 +197,11 @@
         }
         mHighestToken = order.fencingToken();
         extendLeases(order.deadlineClockMillis());
+        maxOrderValidMillis =
+                Math.max(maxOrderValidMillis, order.deadlineClockMillis() - clockMillis());
         if (clockMillis() > order.deadlineClockMillis()) {
-            return new OrderOutcome.Rejected(Rejection.LATE);
+            lateCount++;
+            return new OrderOutcome.Rejected(Rejection.LATE, clockMillis());
         }
         if (order.attempt() <= mHighestEndedAttempts.getOrDefault(order.task(), 0)) {
             return new OrderOutcome.Rejected(Rejection.SUPERSEDED);
@@ -201,7 +213,7 @@
             long incarnationStartWallMillis = mIncarnationStartWallMillis;
             mLoop.schedule(taskMillis, () -> finish(order, incarnationStartWallMillis));
         }
-        return new OrderOutcome.Done(clockMillis());
+        return new OrderOutcome.Done(omitsClock ? 0 : clockMillis());
     }
 
     private void finish(StartOrder order, long incarnationStartWallMillis) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -830,7 +830,11 @@
         }
     }
 
+    /** Takes over the clock in an answer; 0 if the answer does not tell it. */
     private void noteClock(long clockMillis) {
+        if (clockMillis <= 0) {
+            return;
+        }
         mClockReadingMillis = clockMillis;
         mClockReadAtMillis = mLoop.nowMillis();
     }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
@@ -55,7 +55,7 @@
         /**
          * The order was carried out, by this call or an earlier one.
          *
-         * @param clockMillis the worker's clock
+         * @param clockMillis the worker's clock; 0 if the answer does not tell it
          */
         record Done(long clockMillis) implements OrderOutcome {}
 
@@ -63,8 +63,18 @@
          * The worker rejected the order.
          *
          * @param reason why
+         * @param clockMillis the worker's clock; 0 if the answer does not tell it
          */
-        record Rejected(Rejection reason) implements OrderOutcome {}
+        record Rejected(Rejection reason, long clockMillis) implements OrderOutcome {
+            /**
+             * Creates a rejection that does not tell the worker's clock.
+             *
+             * @param reason why
+             */
+            public Rejected(Rejection reason) {
+                this(reason, 0);
+            }
+        }
 
         /**
          * The order was not carried out and will not be.
