Keep the leader's readings of idle workers' clocks up to date

Cause: a session read the worker's clock when it was made and with each answer that carries out an order. In between it assumes a clock that is 3% slow, so that after 67 s without an answer the deadline of a start (2 s) lies in the past.

Evidence: WorkerClockTest.aTaskStartsAtTheFirstOrderAfterMinutesWithoutWork failed before with 144 rejections of a gang of two after 400 s (the fake workers' clocks are 2% slow), theClockInARejectionIsUsedForTheNextOrder failed too.

Change: the clock in each entry of the present incarnation, which workers write every 1.5 s anyway, raises the lower bound for the worker's clock; it never lowers it. The clock in a rejection is taken over as well, for a worker whose entries don't reach the store. Weighed and left out: a poll before a start with an old reading, which costs a call and a round trip. Both readings are earlier values of the clock, so the deadline of a start can't lie later than the leader assumes; the tests check that no order is valid for more than 2 s on the worker's clock.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -245,8 +245,15 @@
         return mEntry;
     }
 
+    /**
+     * Replaces the entry by a later one of the same incarnation. Its clock is an earlier value of
+     * the worker's clock, so it may raise the lower bound for the clock, but never lowers it.
+     */
     void update(WorkerEntry entry) {
         mEntry = entry;
+        if (mIncarnationStartWallMillis != 0 && entry.clockMillis() > clockNowMillis()) {
+            noteClock(entry.clockMillis());
+        }
     }
 
     Resources free() {
@@ -424,7 +431,10 @@
                 noteClock(done.clockMillis());
                 markPresent(run);
             }
-            case OrderOutcome.Rejected rejected -> startRejected(run, rejected.reason());
+            case OrderOutcome.Rejected rejected -> {
+                noteClock(rejected.clockMillis());
+                startRejected(run, rejected.reason());
+            }
             case OrderOutcome.NotDone notDone -> {
                 pausePlacements(FAILED_START_PAUSE_MILLIS);
                 mSupervisor.runGone(run, "not started: " + notDone.reason());
