--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -245,8 +245,15 @@
         return mEntry;
     }
 
+    /**
+     * Replaces the entry by a later one of the same incarnation. Its clock is an earlier value of
+     * the worker's clock, so it may raise the lower bound for the clock, but never lowers it.
+     */
     void update(WorkerEntry entry) {
         mEntry = entry;
+        if (mIncarnationStartWallMillis != 0 && entry.clockMillis() > clockNowMillis()) {
+            noteClock(entry.clockMillis());
+        }
     }
 
     Resources free() {
@@ -424,7 +431,10 @@
                 noteClock(done.clockMillis());
                 markPresent(run);
             }
-            case OrderOutcome.Rejected rejected -> startRejected(run, rejected.reason());
+            case OrderOutcome.Rejected rejected -> {
+                noteClock(rejected.clockMillis());
+                startRejected(run, rejected.reason());
+            }
             case OrderOutcome.NotDone notDone -> {
                 pausePlacements(FAILED_START_PAUSE_MILLIS);
                 mSupervisor.runGone(run, "not started: " + notDone.reason());
@@ -757,6 +767,11 @@
         return mFailedPollCount > 0;
     }
 
+    /** Returns whether the worker has answered the last poll of this session. */
+    boolean answers() {
+        return mReached && !silent();
+    }
+
     /** Returns whether a lease bound of the worker may be stored. */
     boolean isLeaseBoundStored() {
         return mLeaseBoundStored;
@@ -825,7 +840,11 @@
         }
     }
 
+    /** Takes over the clock in an answer; 0 if the answer does not tell it. */
     private void noteClock(long clockMillis) {
+        if (clockMillis <= 0) {
+            return;
+        }
         mClockReadingMillis = clockMillis;
         mClockReadAtMillis = mLoop.nowMillis();
     }
