Log and measure the event loop's lateness and the workers' answer times

An operator could not tell whether orders got no answer (HW517) because of the workers, the links or the leader's own processor.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/VirtualLoop.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/VirtualLoop.java
@@ -59,7 +59,8 @@
         long end = mNowMillis + millis;
         while (!mScheduledTasks.isEmpty() && mScheduledTasks.peek().atMillis() <= end) {
             ScheduledTask scheduled = mScheduledTasks.remove();
-            mNowMillis = scheduled.atMillis();
+            // A task before it may have kept the loop busy beyond this time.
+            mNowMillis = Math.max(mNowMillis, scheduled.atMillis());
             try {
                 scheduled.task().run();
             } catch (RuntimeException e) {
@@ -69,6 +70,15 @@
                 failureCount++;
             }
         }
-        mNowMillis = end;
+        mNowMillis = Math.max(mNowMillis, end);
+    }
+
+    /**
+     * Advances both clocks without running a task, as while the loop is busy.
+     *
+     * @param millis for how long it is busy
+     */
+    public void stall(long millis) {
+        mNowMillis += millis;
     }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -205,6 +205,7 @@
 
     /** Starts following the topics and taking part in elections. */
     public void start() {
+        new LoopMonitor(mLoop, mMetrics).start();
         mOperatorFollower.start();
         mElection.start();
         sendHeartbeats();
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -91,6 +91,7 @@
     private final StatusListener mStatusListener;
     private final DispatchLimits mLimits;
     private final NodeMetrics mMetrics;
+    private final CallMonitor mCallMonitor;
     private final long mEpoch;
     private final FormerLeader mFormerLeader;
     private final FencedWriter.DeposedListener mDeposedListener;
@@ -153,6 +154,7 @@
         mStatusListener = statusListener;
         mLimits = limits;
         mMetrics = metrics;
+        mCallMonitor = new CallMonitor(loop, metrics);
         mEpoch = epoch;
         mFormerLeader = formerLeader;
         mDeposedListener = deposedListener;
@@ -715,6 +717,11 @@
         return mOpen && mReady && mWriter.unconfirmedMillis() < MAX_UNCONFIRMED_MILLIS;
     }
 
+    @Override
+    public CallMonitor callMonitor() {
+        return mCallMonitor;
+    }
+
     @Override
     public void startAnswered(WorkerSession worker, String outcome) {
         mMetrics.recordStartOrder(outcome);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
@@ -25,6 +25,8 @@
     private final Histogram mStoring;
     private final Histogram mFirstStart;
     private final Histogram mJobs;
+    private final Histogram mCalls;
+    private final Histogram mLoopDelay;
 
     /** Creates the metrics, all at zero. */
     public NodeMetrics() {
@@ -35,6 +37,8 @@
         mFirstStart =
                 histogram("hornbeamward_first_start_seconds", "acceptance to the first order");
         mJobs = histogram("hornbeamward_job_seconds", "acceptance to the final phase");
+        mCalls = histogram("hornbeamward_call_seconds", "calls to workers, without their wait");
+        mLoopDelay = histogram("hornbeamward_loop_delay_seconds", "lateness of the event loop");
     }
 
     private Counter counter(String name, String help, String label) {
@@ -112,6 +116,24 @@
         mJobs.observe(millis / MILLIS_PER_SECOND);
     }
 
+    /**
+     * Records how late a call to a worker was answered or given up.
+     *
+     * @param millis time since it was sent, without the time that the worker was asked to wait
+     */
+    public void recordCall(long millis) {
+        mCalls.observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Records how late the event loop ran a timer.
+     *
+     * @param millis how late
+     */
+    public void recordLoopDelay(long millis) {
+        mLoopDelay.observe(millis / MILLIS_PER_SECOND);
+    }
+
     /**
      * Returns the registry, for an exposition.
      *
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -143,6 +143,9 @@
         /** The worker reports a run that the leader does not know. */
         void unknownRun(WorkerSession worker, RunReport report);
 
+        /** Returns the monitor of all calls to workers. */
+        CallMonitor callMonitor();
+
         /** Requests a placement pass, since something has changed that may allow decisions. */
         void requestPass();
 
@@ -391,6 +394,7 @@
                         run.ticket);
         guarded(
                         () -> mControl.start(mEntry, order, ANSWER_TIMEOUT_MILLIS),
+                        0,
                         OrderOutcome.Unknown::new)
                 .thenAccept(outcome -> startAnswered(run, outcome));
     }
@@ -400,7 +404,10 @@
      * the poll would stay in flight for ever.
      */
     private <T> CompletableFuture<T> guarded(
-            Supplier<CompletableFuture<T>> call, Function<String, T> failure) {
+            Supplier<CompletableFuture<T>> call, long waitMillis, Function<String, T> failure) {
+        long sentMillis = mLoop.nowMillis();
+        CallMonitor monitor = mSupervisor.callMonitor();
+        monitor.sent();
         CompletableFuture<T> answer;
         try {
             answer = call.get();
@@ -408,10 +415,22 @@
             answer = CompletableFuture.failedFuture(e);
         }
         return answer.exceptionally(
-                error -> {
-                    LogEvent.DUTY_FAILED.log(error, "call to worker " + mId);
-                    return failure.apply(error.toString());
-                });
+                        error -> {
+                            LogEvent.DUTY_FAILED.log(error, "call to worker " + mId);
+                            return failure.apply(error.toString());
+                        })
+                .thenApply(
+                        outcome -> {
+                            monitor.ended(sentMillis, waitMillis, isAnswer(outcome));
+                            return outcome;
+                        });
+    }
+
+    private static boolean isAnswer(Object outcome) {
+        return !(outcome instanceof OrderOutcome.Unknown
+                || outcome instanceof OrderOutcome.NotDone
+                || outcome instanceof PollOutcome.NotSent
+                || outcome instanceof PollOutcome.Failed);
     }
 
     private void startAnswered(Run run, OrderOutcome outcome) {
@@ -490,6 +509,7 @@
                                         run.attempt,
                                         mSupervisor.fencingToken(),
                                         ANSWER_TIMEOUT_MILLIS),
+                        0,
                         OrderOutcome.Unknown::new)
                 .thenAccept(outcome -> stopAnswered(run, outcome));
     }
@@ -537,6 +557,7 @@
                                         percent,
                                         mSupervisor.fencingToken(),
                                         ANSWER_TIMEOUT_MILLIS),
+                        0,
                         OrderOutcome.Unknown::new)
                 .thenAccept(
                         outcome -> {
@@ -635,6 +656,7 @@
                                         acknowledged,
                                         waitMillis,
                                         waitMillis + ANSWER_TIMEOUT_MILLIS),
+                        waitMillis,
                         PollOutcome.Failed::new)
                 .thenAccept(outcome -> pollAnswered(outcome, sentMillis, acknowledged));
     }
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -23,6 +23,8 @@
     SETTINGS_REFUSED(105, Level.ERROR, "changed settings are not used: {}"),
     /** Log lines were dropped. */
     LOG_DROPPED(106, Level.WARN, "{} log lines were dropped"),
+    /** The event loop ran its tasks late. */
+    LOOP_DELAYED(107, Level.WARN, "the event loop was up to {} ms late within {} ms"),
     /** The log cannot be read or written. */
     LOG_UNAVAILABLE(200, Level.WARN, "{}"),
     /** The log can be read or written again. */
@@ -115,6 +117,11 @@
     WORKER_SLOW(523, Level.WARN, "worker {} is slow; its runs advance at {} of the usual speed"),
     /** A run on a slow worker is stopped so that it starts on another worker. */
     SLOW_RUN_MOVED(524, Level.INFO, "slow run {} at {} percent is stopped to start elsewhere"),
+    /** Calls to workers were answered late or not at all. */
+    CALLS_SLOW(
+            525,
+            Level.WARN,
+            "calls to workers within {} ms: {} answered, up to {} ms late, {} not; {} in flight"),
     /** Ended jobs are removed from the store. */
     JOBS_FORGOTTEN(521, Level.INFO, "{} ended jobs are removed from the store: {}"),
     /** An instance list cannot be used and was ignored. */
