Resume interrupted long-running tasks before new work

Cause: a task that lasts and was interrupted counted as a new one. JobOrder put it behind all short jobs that could still be in time, OrderQueue sent its order last, and Placement kept room for short jobs from it unless two workers had room. A leader that has just taken over uses the free room only slowly, and all of it went to short jobs.

Change: interrupted tasks that last are ranked first, their orders are sent first, and they may take the room that is kept for short jobs. They are few, and they had their room before. New long-running jobs wait as before.

DispatcherTest.aTaskOfALostWorkerResumesThoughShortJobsTakeAllCapacity fails without the ranking ("the task of the lost worker has not started again").

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/DecisionsTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/DecisionsTest.java
@@ -28,10 +28,15 @@
                 objectiveMillis,
                 remainingMillis,
                 longRunning,
+                false,
                 sequence,
                 ImageGroup.NONE);
     }
 
+    private static SortKey interrupted(long releaseWallMillis, long sequence) {
+        return new SortKey(0, releaseWallMillis, 2_900, 320, true, true, sequence, ImageGroup.NONE);
+    }
+
     private static List<Long> order(SortKey... keys) {
         List<SortKey> sorted = new ArrayList<>(List.of(keys));
         sorted.sort(JobOrder.at(NOW));
@@ -65,9 +70,18 @@
         assertEquals(List.of(2L, 1L, 3L), order(longRunning, quick, late));
     }
 
+    /** Guards against lost long-running tasks that stay away while short jobs keep coming. */
+    @Test
+    void aLongRunningTaskThatWasInterruptedGoesBeforeShortJobs() {
+        SortKey quick = sortKey(0, NOW, 1_750, 1_000, false, 1);
+        SortKey longRunning = sortKey(0, NOW - 60_000, 2_900, 320, true, 2);
+        SortKey interrupted = interrupted(NOW - 3_000, 3);
+        assertEquals(List.of(3L, 1L, 2L), order(quick, longRunning, interrupted));
+    }
+
     private static SortKey serving(long sequence, String image, long millicores, boolean spread) {
         ImageGroup imageGroup = new ImageGroup(image, millicores, spread);
-        return new SortKey(0, NOW - sequence % 2, 2_900, 320, true, sequence, imageGroup);
+        return new SortKey(0, NOW - sequence % 2, 2_900, 320, true, false, sequence, imageGroup);
     }
 
     /**
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/PlacementTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/PlacementTest.java
@@ -117,10 +117,13 @@
 
     private static String choose(
             StepSpec step, long waitedMillis, @Nullable WorkerId failedOn, Worker... workers) {
-        return Placement.choose(
-                        new Placement.Demand(step, "pool", step.dataRack(), waitedMillis, failedOn),
-                        List.of(workers),
-                        worker -> 0)
+        return choose(
+                new Placement.Demand(step, "pool", step.dataRack(), waitedMillis, failedOn, false),
+                workers);
+    }
+
+    private static String choose(Placement.Demand demand, Worker... workers) {
+        return Placement.choose(demand, List.of(workers), worker -> 0)
                 .map(Worker::name)
                 .orElse("none");
     }
@@ -183,6 +186,18 @@
         assertEquals("a", choose(longRunning, 1_500, one, two));
     }
 
+    /**
+     * Guards against a task of a lost worker that stays away because the only worker with room
+     * keeps it for short jobs.
+     */
+    @Test
+    void anInterruptedLongRunningTaskTakesAnyRoom() {
+        StepSpec longRunning = step(3_000, false, true, "");
+        Placement.Demand demand = new Placement.Demand(longRunning, "pool", "", 0, null, true);
+        assertEquals("a", choose(demand, plain("a", 28_900, 0)));
+        assertEquals("none", choose(demand, plain("a", 29_100, 0)));
+    }
+
     /**
      * Guards against serving images that are mixed on every worker, so that every filler does harm
      * on each of them.
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
@@ -90,6 +90,28 @@
         assertEquals(1, mFixture.startedCount());
     }
 
+    /** Guards against lost long-running tasks that stay away while short jobs keep coming. */
+    @Test
+    void aTaskOfALostWorkerResumesThoughShortJobsTakeAllCapacity() {
+        mFixture.startDispatcher(1);
+        setTaskMillis(60_000);
+        JobId lasting = mFixture.submit("lasting", LeaderFixture.longRunning(1, 1_000));
+        mFixture.mLoop.advance(3_000);
+        FakeWorker lost = busyWorker();
+        FakeWorker other = lost == worker("w1") ? worker("w2") : worker("w1");
+        other.taskMillis = 500;
+        lost.refusesConnections = true;
+        int jobCount = 0;
+        for (int tenths = 0; tenths < 120; tenths++) {
+            mFixture.submit("quick" + jobCount++, LeaderFixture.step(1, 1_000));
+            mFixture.mLoop.advance(100);
+        }
+        assertTrue(
+                other.running().stream().anyMatch(task -> task.job().equals(lasting))
+                        || other.done.stream().anyMatch(task -> task.job().equals(lasting)),
+                "the task of the lost worker has not started again");
+    }
+
     /** Guards against a new leader that starts tasks which the previous one has started. */
     @Test
     void aNewLeaderTakesOverRunningTasks() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/JobOrder.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/JobOrder.java
@@ -4,8 +4,10 @@
 
 /**
  * The order in which the tasks of jobs are placed. Load pattern: a burst of large jobs beside a
- * steady stream of short ones. Jobs that can still meet their objective go first, by priority and
- * then by latest start time. Next come long-running jobs, which lose only the time that they wait,
+ * steady stream of short ones, or workers that are lost meanwhile. Long-running tasks that have
+ * been running go first: they are few, they had their capacity before, and callers count them as
+ * lost when they stay away. Jobs that can still meet their objective follow, by priority and then
+ * by latest start time. Next come new long-running jobs, which lose only the time that they wait,
  * and then jobs that are already late. Jobs whose result is worth nothing any more come last, so
  * that they do not make others late. Long-running jobs that are submitted together, such as after a
  * start of the whole system, are placed image by image, so that images are not mixed on all
@@ -43,6 +45,7 @@
      * @param objectiveMillis time after the release at which its objective ends
      * @param remainingMillis estimated duration of the remaining steps, at most the critical path
      * @param longRunning whether it runs until it is cancelled
+     * @param interrupted whether only tasks are placed that have been running before
      * @param sequence order of arrival
      * @param imageGroup other jobs of its image, for a long-running job
      */
@@ -52,6 +55,7 @@
             long objectiveMillis,
             long remainingMillis,
             boolean longRunning,
+            boolean interrupted,
             long sequence,
             ImageGroup imageGroup) {
 
@@ -61,6 +65,7 @@
     }
 
     private enum Tier {
+        INTERRUPTED,
         IN_TIME,
         LONG_RUNNING,
         LATE,
@@ -68,6 +73,9 @@
     }
 
     private static Tier tier(SortKey key, long nowWallMillis) {
+        if (key.interrupted()) {
+            return Tier.INTERRUPTED;
+        }
         if (key.longRunning()) {
             return Tier.LONG_RUNNING;
         }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
@@ -129,13 +129,16 @@
      * @param preferredRack rack on which the task is fast; empty for any
      * @param waitedMillis how long no worker was found for the task
      * @param failedOn worker on which it failed last; null if it has not failed
+     * @param interrupted whether it is long-running and has been running before, so that it had
+     *     room that was not kept for short jobs
      */
     public record Demand(
             StepSpec step,
             String pool,
             String preferredRack,
             long waitedMillis,
-            @Nullable WorkerId failedOn) {
+            @Nullable WorkerId failedOn,
+            boolean interrupted) {
 
         /**
          * The properties, apart from the size, that determine which workers are eligible.
@@ -183,7 +186,7 @@
             }
         }
         StepSpec step = demand.step();
-        if (step.longRunning() && !step.filler()) {
+        if (step.longRunning() && !step.filler() && !demand.interrupted()) {
             List<C> leavingRoom =
                     eligible.stream().filter(candidate -> leavesRoom(step, candidate)).toList();
             boolean mustWait =
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/OrderQueue.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/OrderQueue.java
@@ -26,16 +26,22 @@
      */
     static final int MAX_IN_FLIGHT_PER_WORKER_COUNT = 4;
 
+    /** Runs that resume long-running tasks; they go before the others, as in {@code JobOrder}. */
+    private final Deque<Run> mWaitingToResume = new ArrayDeque<>();
+
     private final Deque<Run> mWaiting = new ArrayDeque<>();
     private final Map<WorkerId, Integer> mInFlightByWorker = new HashMap<>();
     private int mInFlightCount;
 
     void add(Iterable<Run> runs) {
-        runs.forEach(mWaiting::add);
+        for (Run run : runs) {
+            boolean resumes = run.task.step.spec.longRunning() && run.attempt > 1;
+            (resumes ? mWaitingToResume : mWaiting).add(run);
+        }
     }
 
     boolean isEmpty() {
-        return mWaiting.isEmpty();
+        return mWaitingToResume.isEmpty() && mWaiting.isEmpty();
     }
 
     /** Removes and returns the first run whose order may be sent now; null if there is none. */
@@ -43,7 +49,12 @@
         if (mInFlightCount >= MAX_IN_FLIGHT_COUNT) {
             return null;
         }
-        for (Iterator<Run> runs = mWaiting.iterator(); runs.hasNext(); ) {
+        Run resumed = takeFrom(mWaitingToResume);
+        return resumed != null ? resumed : takeFrom(mWaiting);
+    }
+
+    private @Nullable Run takeFrom(Deque<Run> waiting) {
+        for (Iterator<Run> runs = waiting.iterator(); runs.hasNext(); ) {
             Run run = runs.next();
             int inFlight = mInFlightByWorker.getOrDefault(run.worker.id(), 0);
             if (inFlight < MAX_IN_FLIGHT_PER_WORKER_COUNT) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -4,10 +4,12 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.hornbeamward.dispatch.config.ClusterConfig;
 import org.hornbeamward.dispatch.config.QueueConfig;
 import org.hornbeamward.dispatch.decide.JobOrder;
@@ -56,16 +58,24 @@
         return mDomainsOut.contains(domain);
     }
 
-    /** A job with the values that determine its place in the order. */
+    /**
+     * A job, or only its interrupted tasks, with the values that determine the place in the order.
+     */
     private record RankedJob(Job job, JobOrder.SortKey sortKey) {}
 
     /** The state of one placement pass: usable workers, new runs and demands without a worker. */
     private final class Pass {
         private final List<WorkerSession> mUsableWorkers = new ArrayList<>();
         private final List<Run> mRuns = new ArrayList<>();
+        private final Set<Task> mPlaced = new HashSet<>();
         private final Map<WorkerSession, WorkerCandidate> mCandidates = new HashMap<>();
         private final Map<Demand.Kind, List<Demand>> mUnplaced = new HashMap<>();
 
+        /** Returns whether the pass has placed a task, whose run is not attached yet. */
+        private boolean isPlaced(Task task) {
+            return mPlaced.contains(task);
+        }
+
         private WorkerCandidate candidate(WorkerSession worker) {
             return mCandidates.computeIfAbsent(
                     worker, key -> new WorkerCandidate(key, mFillerController));
@@ -78,6 +88,7 @@
         private boolean isKnownUnplaceable(Demand demand) {
             for (Demand unplaced : mUnplaced.getOrDefault(demand.kind(), List.of())) {
                 if (unplaced.step().size().fitsIn(demand.step().size())
+                        && (unplaced.interrupted() || !demand.interrupted())
                         && unplaced.waitedMillis() >= demand.waitedMillis()) {
                     return true;
                 }
@@ -112,7 +123,9 @@
         Pass pass = newPass(workers);
         boolean waitForBatch = awaitsLongRunningJobs(ranked, loop.nowMillis());
         for (RankedJob entry : ranked) {
-            if (!waitForBatch || !entry.job().isNewAndLongRunning()) {
+            if (entry.sortKey().interrupted()) {
+                placeInterrupted(pass, entry.job(), loop.nowMillis());
+            } else if (!waitForBatch || !entry.job().isNewAndLongRunning()) {
                 placeJob(pass, entry.job(), nowWallMillis, loop.nowMillis());
             }
         }
@@ -152,13 +165,30 @@
             if (job.terminal() || queue == null) {
                 continue;
             }
-            ranked.add(new RankedJob(job, sortKey(job, queue, nowWallMillis, demand)));
+            ranked.add(new RankedJob(job, sortKey(job, queue, nowWallMillis, false, demand)));
+            if (hasInterruptedTask(job)) {
+                ranked.add(new RankedJob(job, sortKey(job, queue, nowWallMillis, true, demand)));
+            }
         }
         Comparator<JobOrder.SortKey> order = JobOrder.at(nowWallMillis);
         ranked.sort((left, right) -> order.compare(left.sortKey(), right.sortKey()));
         return ranked;
     }
 
+    private static boolean hasInterruptedTask(Job job) {
+        if (!job.spec().longRunning()) {
+            return false;
+        }
+        for (Step step : job.steps(0)) {
+            for (Task task : step.tasks) {
+                if (task.interrupted()) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
     /** Returns the millicores that new long-running jobs will reserve, by image. */
     private Map<String, Long> waitingLongRunningDemand() {
         Map<String, Long> demand = new HashMap<>();
@@ -183,7 +213,11 @@
     }
 
     private JobOrder.SortKey sortKey(
-            Job job, QueueConfig queue, long nowWallMillis, Map<String, Long> demand) {
+            Job job,
+            QueueConfig queue,
+            long nowWallMillis,
+            boolean interrupted,
+            Map<String, Long> demand) {
         long criticalPathMillis = job.spec().criticalPathMillis();
         long objectiveMillis =
                 (long) (queue.slackFactor() * criticalPathMillis) + queue.objectiveMillis();
@@ -198,6 +232,7 @@
                 objectiveMillis,
                 remainingMillis(job),
                 job.spec().longRunning(),
+                interrupted,
                 job.submission.acceptedWallMillis(),
                 imageGroup(job, demand));
     }
@@ -229,13 +264,26 @@
         }
     }
 
+    /** Places the tasks of a long-running job that have been running before. */
+    private void placeInterrupted(Pass pass, Job job, long nowMillis) {
+        for (Step step : job.steps(0)) {
+            if (!step.spec.gang()) {
+                placeTasks(pass, step, Task::interrupted, nowMillis);
+            }
+        }
+    }
+
     private void placeStep(Pass pass, Step step, long nowMillis) {
         if (step.spec.gang()) {
             placeGang(pass, step, nowMillis);
             return;
         }
+        placeTasks(pass, step, Task::waiting, nowMillis);
+    }
+
+    private void placeTasks(Pass pass, Step step, Predicate<Task> filter, long nowMillis) {
         for (Task task : step.tasks) {
-            if (task.waiting() && task.notBeforeMillis <= nowMillis) {
+            if (filter.test(task) && !pass.isPlaced(task) && task.notBeforeMillis <= nowMillis) {
                 task.waitingSinceMillis = Math.min(task.waitingSinceMillis, nowMillis);
                 long waitedMillis = nowMillis - task.waitingSinceMillis;
                 Run run = placeTask(pass, task, task.lastAttempt + 1, "", waitedMillis);
@@ -280,6 +328,7 @@
 
     private void addRun(Pass pass, Run run) {
         pass.mRuns.add(run);
+        pass.mPlaced.add(run.task);
         pass.candidate(run.worker).add(run);
         run.task.step.job.placed = true;
     }
@@ -297,7 +346,8 @@
                         queue.pool(),
                         rack.isEmpty() ? rackFor(step) : rack,
                         waitedMillis,
-                        task.failedOn);
+                        task.failedOn,
+                        step.spec.longRunning() && task.interrupted());
         if (pass.isKnownUnplaceable(demand)) {
             return null;
         }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
@@ -45,4 +45,9 @@
     boolean waiting() {
         return !done && run == null;
     }
+
+    /** Returns whether the task waits and has been ordered before. */
+    boolean interrupted() {
+        return waiting() && lastAttempt > 0;
+    }
 }
