Keep room free for interrupted long-running tasks that fit on no worker

Cause: a task of 6.4 cores waits for a worker with as much free, while tasks of 2 to 3.5 cores take each piece as it becomes free. A slow leader knows of free room later than it exists, and its passes hand it out in small pieces.

The room is kept for one pass only and chosen anew in the next, so that nothing stays reserved for a task that has gone.

DispatcherTest.aTaskOfALostWorkerResumesThoughShortTasksTakeEachFreedPiece fails without the change ("the task of the lost worker has not started again").

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
@@ -93,9 +93,20 @@
     /** Guards against lost long-running tasks that stay away while short jobs keep coming. */
     @Test
     void aTaskOfALostWorkerResumesThoughShortJobsTakeAllCapacity() {
+        resumeDuringShortJobs(1_000);
+    }
+
+    /** Guards against short tasks that take each piece of the room that a larger one waits for. */
+    @Test
+    void aTaskOfALostWorkerResumesThoughShortTasksTakeEachFreedPiece() {
+        resumeDuringShortJobs(3_000);
+    }
+
+    private void resumeDuringShortJobs(long lastingCpuMillicores) {
         mFixture.startDispatcher(1);
         setTaskMillis(60_000);
-        JobId lasting = mFixture.submit("lasting", LeaderFixture.longRunning(1, 1_000));
+        JobId lasting =
+                mFixture.submit("lasting", LeaderFixture.longRunning(1, lastingCpuMillicores));
         mFixture.mLoop.advance(3_000);
         FakeWorker lost = busyWorker();
         FakeWorker other = lost == worker("w1") ? worker("w2") : worker("w1");
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
@@ -197,17 +197,50 @@
                 .min(Comparator.comparingDouble(candidate -> cost(demand, candidate)));
     }
 
-    private static <C extends Candidate> boolean isEligible(
+    /**
+     * Chooses the worker whose room is kept free for an interrupted long-running task that fits on
+     * none. Load pattern: a steady stream of short tasks takes each piece of room as it becomes
+     * free, so that a larger task would wait for as long as the stream lasts. Room for short tasks
+     * is left on the worker.
+     *
+     * @param demand task to place and its requirements
+     * @param candidates workers that accept new tasks
+     * @param sameStepCount number of tasks of the same step on a worker
+     * @param <C> type of the candidates
+     * @return the suitable worker with the most free processors, if there is one
+     */
+    public static <C extends Candidate> Optional<C> chooseToKeepFree(
+            Demand demand, Iterable<C> candidates, ToIntFunction<C> sameStepCount) {
+        List<C> suitable = new ArrayList<>();
+        for (C candidate : candidates) {
+            if (isSuitable(demand, candidate, sameStepCount)
+                    && leavesShare(demand.step(), candidate)) {
+                suitable.add(candidate);
+            }
+        }
+        return suitable.stream()
+                .max(Comparator.comparingLong(candidate -> candidate.free().cpuMillicores()));
+    }
+
+    /** Returns whether a worker can run a task, apart from the capacity that is free now. */
+    private static <C extends Candidate> boolean isSuitable(
             Demand demand, C candidate, ToIntFunction<C> sameStepCount) {
         StepSpec step = demand.step();
         WorkerEntry entry = candidate.entry();
         if (!entry.pool().equals(demand.pool())
-                || !step.reservation().fitsIn(candidate.free())
                 || !(step.requiredLabel().isEmpty()
                         || entry.labels().contains(step.requiredLabel()))) {
             return false;
         }
-        if (step.maxPerWorker() > 0 && sameStepCount.applyAsInt(candidate) >= step.maxPerWorker()) {
+        return step.maxPerWorker() == 0
+                || sameStepCount.applyAsInt(candidate) < step.maxPerWorker();
+    }
+
+    private static <C extends Candidate> boolean isEligible(
+            Demand demand, C candidate, ToIntFunction<C> sameStepCount) {
+        StepSpec step = demand.step();
+        if (!step.reservation().fitsIn(candidate.free())
+                || !isSuitable(demand, candidate, sameStepCount)) {
             return false;
         }
         if (!step.filler()) {
@@ -221,9 +254,12 @@
 
     /** Returns whether a worker has room for short tasks beside a new long-running one. */
     private static boolean leavesRoom(StepSpec step, Candidate candidate) {
+        return leavesShare(step, candidate) || step.size().times(2).fitsIn(candidate.free());
+    }
+
+    private static boolean leavesShare(StepSpec step, Candidate candidate) {
         double limit = MAX_LONG_RUNNING_SHARE * candidate.entry().capacity().cpuMillicores();
-        return candidate.longRunningCpuMillicores() + step.size().cpuMillicores() <= limit
-                || step.size().times(2).fitsIn(candidate.free());
+        return candidate.longRunningCpuMillicores() + step.size().cpuMillicores() <= limit;
     }
 
     /** Returns the processors that are expected to stay unused with all fillers at full pace. */
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -264,15 +264,38 @@
         }
     }
 
-    /** Places the tasks of a long-running job that have been running before. */
+    /**
+     * Places the tasks of a long-running job that have been running before, and keeps room free for
+     * those that fit on no worker.
+     */
     private void placeInterrupted(Pass pass, Job job, long nowMillis) {
         for (Step step : job.steps(0)) {
-            if (!step.spec.gang()) {
-                placeTasks(pass, step, Task::interrupted, nowMillis);
+            if (step.spec.gang()) {
+                continue;
+            }
+            placeTasks(pass, step, Task::interrupted, nowMillis);
+            for (Task task : step.tasks) {
+                if (task.interrupted()
+                        && !pass.isPlaced(task)
+                        && !step.spec.filler()
+                        && task.notBeforeMillis <= nowMillis) {
+                    keepRoomFree(pass, task);
+                }
             }
         }
     }
 
+    private void keepRoomFree(Pass pass, Task task) {
+        QueueConfig queue = task.step.job.queue;
+        if (queue != null) {
+            Placement.chooseToKeepFree(
+                            demand(task, queue, "", 0),
+                            candidates(pass),
+                            candidate -> candidate.sameStepCount(task.step))
+                    .ifPresent(candidate -> candidate.keepFree(task.step.spec));
+        }
+    }
+
     private void placeStep(Pass pass, Step step, long nowMillis) {
         if (step.spec.gang()) {
             placeGang(pass, step, nowMillis);
@@ -340,23 +363,13 @@
         if (queue == null) {
             return null;
         }
-        Demand demand =
-                new Demand(
-                        step.spec,
-                        queue.pool(),
-                        rack.isEmpty() ? rackFor(step) : rack,
-                        waitedMillis,
-                        task.failedOn,
-                        step.spec.longRunning() && task.interrupted());
+        Demand demand = demand(task, queue, rack, waitedMillis);
         if (pass.isKnownUnplaceable(demand)) {
             return null;
         }
-        List<WorkerCandidate> candidates = new ArrayList<>(pass.mUsableWorkers.size());
-        for (WorkerSession worker : pass.mUsableWorkers) {
-            candidates.add(pass.candidate(worker));
-        }
         Optional<WorkerCandidate> chosen =
-                Placement.choose(demand, candidates, candidate -> candidate.sameStepCount(step));
+                Placement.choose(
+                        demand, candidates(pass), candidate -> candidate.sameStepCount(step));
         if (chosen.isEmpty()) {
             pass.recordUnplaced(demand);
             return null;
@@ -364,6 +377,25 @@
         return new Run(task, attempt, chosen.get().worker(), "");
     }
 
+    private static Demand demand(Task task, QueueConfig queue, String rack, long waitedMillis) {
+        Step step = task.step;
+        return new Demand(
+                step.spec,
+                queue.pool(),
+                rack.isEmpty() ? rackFor(step) : rack,
+                waitedMillis,
+                task.failedOn,
+                step.spec.longRunning() && task.interrupted());
+    }
+
+    private static List<WorkerCandidate> candidates(Pass pass) {
+        List<WorkerCandidate> candidates = new ArrayList<>(pass.mUsableWorkers.size());
+        for (WorkerSession worker : pass.mUsableWorkers) {
+            candidates.add(pass.candidate(worker));
+        }
+        return candidates;
+    }
+
     /**
      * Returns whether another worker has room for a filler and the filler would interfere much less
      * with the serving tasks there.
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerCandidate.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerCandidate.java
@@ -16,6 +16,7 @@
     private final List<Run> mRuns = new ArrayList<>();
     private final Usage mUsage = new Usage();
     private final long mPresentFillerCpuMillicores;
+    private Resources mKeptFree = Resources.NONE;
     private @Nullable Neighbors mNeighbors;
 
     WorkerCandidate(WorkerSession worker, FillerController fillerController) {
@@ -41,6 +42,11 @@
         }
     }
 
+    /** Keeps room free for a long-running task that does not fit yet. */
+    void keepFree(StepSpec step) {
+        mKeptFree = mKeptFree.plus(step.reservation());
+    }
+
     int sameStepCount(Step step) {
         int count = 0;
         for (Run run : mWorker.runs()) {
@@ -59,7 +65,7 @@
 
     @Override
     public Resources free() {
-        return mWorker.free().minus(mUsage.reserved());
+        return mWorker.free().minus(mUsage.reserved()).minus(mKeptFree);
     }
 
     @Override
@@ -69,7 +75,9 @@
 
     @Override
     public long longRunningCpuMillicores() {
-        return mWorker.longRunningCpuMillicores() + mUsage.longRunningCpuMillicores();
+        return mWorker.longRunningCpuMillicores()
+                + mUsage.longRunningCpuMillicores()
+                + mKeptFree.cpuMillicores();
     }
 
     Neighbors neighbors() {
