Add a seeded soak of real entry processes under overlapping faults

The new bundle starts two or three entry processes with a stand-in of the store, workers and clients on loopback addresses. A seed determines the jobs and the faults: SIGKILL, SIGSTOP with SIGCONT, SIGTERM and restart of entries, workers that restart once or twice, register up to 3 s late, are cut off, lose or delay calls and answers. Runs are checked as they start and end: two at once, a start after an acknowledged end, before the step that it depends on, after a cancellation or of a refused job. After the faults all accepted jobs have to end and tasks that last to be present. System properties hornbeamward.soak.seed and .seconds choose a run; Soak.main runs one without Maven.

A seed gives the same faults but not the same interleaving, so one run without a violation shows little.

--- /dev/null
+++ b/org.hornbeamward.soak.test/tst/org/hornbeamward/soak/RunLedger.java
@@ -0,0 +1,218 @@
+package org.hornbeamward.soak;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+
+/**
+ * All jobs and runs of a soak, checked against the platform's rules as they happen. Its monitor
+ * also guards the state of the workers, so that the order of their runs is certain.
+ */
+final class RunLedger {
+    /** Bound on starts after an acknowledged cancellation, as in the settings of the entries. */
+    private static final long CANCEL_MILLIS = 3_000;
+
+    /** A job of a client. */
+    static final class Job {
+        final String mId;
+        final String mPayload;
+        final boolean mLongRunning;
+
+        /** Names of the tasks of each step; a step depends on the one before it. */
+        final List<List<String>> mSteps;
+
+        volatile boolean mAccepted;
+        volatile boolean mRefused;
+        volatile boolean mCancelSent;
+
+        /** When the cancellation was acknowledged. */
+        volatile long mCancelledMillis = Long.MAX_VALUE;
+
+        Job(String id, String payload, boolean longRunning, List<List<String>> steps) {
+            mId = id;
+            mPayload = payload;
+            mLongRunning = longRunning;
+            mSteps = steps;
+        }
+
+        Stream<String> tasks() {
+            return mSteps.stream().flatMap(List::stream);
+        }
+    }
+
+    /** A run of a task on one incarnation of a worker. */
+    static final class Run {
+        final String mTask;
+        final int mAttempt;
+        final String mWorker;
+        final long mWorkMillis;
+        final long mStartedMillis = SoakLog.nowMillis();
+
+        /** Whether the worker carried the order out after the call had ended. */
+        final boolean mLate;
+
+        long mStopsAtMillis = Long.MAX_VALUE;
+        long mEndedMillis = Long.MAX_VALUE;
+        String mEnd = "running";
+        boolean mNoted;
+
+        Run(String worker, JsonNode order, boolean late) {
+            mTask = order.path("task").asText();
+            mAttempt = order.path("attempt").asInt();
+            mWorker = worker;
+            mWorkMillis = order.path("spec").asLong();
+            mLate = late;
+        }
+
+        String key() {
+            return mTask + "/" + mAttempt;
+        }
+
+        /** Returns the row in a list of present runs. */
+        String toRow() {
+            long worked = SoakLog.nowMillis() - mStartedMillis;
+            long percent = mWorkMillis == 0 ? 100 : Math.min(100, 100 * worked / mWorkMillis);
+            return "[\"%s\",%d,\"\",%d,1000]".formatted(mTask, mAttempt, percent);
+        }
+
+        private boolean isDone() {
+            return mEnd.equals("done");
+        }
+
+        private boolean isPresent() {
+            return mEndedMillis == Long.MAX_VALUE;
+        }
+
+        @Override
+        public String toString() {
+            String late = mLate ? ", late" : "";
+            String stopped = mStopsAtMillis == Long.MAX_VALUE ? "" : ", stop";
+            String noted = mNoted ? " noted" : "";
+            return "[" + key() + " on " + mWorker + late + stopped + ", " + mEnd + noted + "]";
+        }
+    }
+
+    private final SoakLog mLog;
+    private final Map<String, Job> mJobs = new HashMap<>();
+    private final Map<String, List<Run>> mRuns = new HashMap<>();
+    private final List<Runnable> mExpiryChecks = new ArrayList<>();
+    private final List<String> mViolations = new ArrayList<>();
+
+    RunLedger(SoakLog log) {
+        mLog = log;
+    }
+
+    /** Adds a check that ends the runs of a worker whose lease has lapsed by now. */
+    synchronized void addExpiryCheck(Runnable check) {
+        mExpiryChecks.add(check);
+    }
+
+    synchronized void submitted(Job job) {
+        mJobs.put(job.mId, job);
+    }
+
+    /** All attempts to submit a job were rejected, so it may never run. */
+    synchronized void refused(Job job) {
+        job.mRefused = true;
+        if (!runs(job).isEmpty()) {
+            violation("a refused job has run: " + runs(job));
+        }
+    }
+
+    /** A worker has started a run. */
+    synchronized void started(Run run, String payload) {
+        mExpiryChecks.forEach(Runnable::run);
+        Job job = mJobs.get(run.mTask.replaceFirst("\\..*", ""));
+        List<Run> earlier = mRuns.computeIfAbsent(run.mTask, key -> new ArrayList<>());
+        if (job == null || !job.mPayload.equals(payload)) {
+            violation("no client has submitted this: " + run);
+        } else {
+            checkStart(job, run, earlier);
+        }
+        earlier.add(run);
+    }
+
+    private void checkStart(Job job, Run run, List<Run> earlier) {
+        for (Run other : earlier) {
+            if (other.isPresent()) {
+                violation("two runs at once: " + other + " while " + run);
+            } else if (other.isDone() && other.mNoted) {
+                violation("start after an acknowledged end: " + other + " before " + run);
+            }
+        }
+        if (job.mRefused) {
+            violation("a refused job runs: " + run);
+        }
+        // A negative result of the subtraction means that the job is not cancelled.
+        long sinceCancelMillis = run.mStartedMillis - job.mCancelledMillis;
+        if (sinceCancelMillis > CANCEL_MILLIS && !run.mLate) {
+            violation("start " + sinceCancelMillis + " ms after the cancellation: " + run);
+        }
+        int step = Integer.parseInt(run.mTask.split("\\.")[2]);
+        if (step > 0 && !job.mSteps.get(step - 1).stream().allMatch(this::hasEndedDone)) {
+            violation("start before the step that it depends on is done: " + run);
+        }
+    }
+
+    synchronized void ended(Run run, String end) {
+        run.mEndedMillis = SoakLog.nowMillis();
+        run.mEnd = end;
+    }
+
+    /** The end of a run was acknowledged. */
+    synchronized void noted(Run run) {
+        run.mNoted = true;
+        List<Run> runs = runs(run.mTask);
+        List<Run> later = runs.subList(runs.indexOf(run) + 1, runs.size());
+        if (run.isDone() && !later.isEmpty()) {
+            violation("start after an end that was acknowledged later: " + run + ", " + later);
+        }
+    }
+
+    /** An entry has shown the state of a job, none of whose runs has failed. */
+    synchronized void shown(Job job, String state) {
+        if ((state.equals("completed") && !job.tasks().allMatch(this::hasEndedDone))
+                || (state.equals("cancelled") && !job.mCancelSent)
+                || state.equals("failed")) {
+            violation("job " + job.mId + " is shown as " + state + " without cause");
+        }
+    }
+
+    private boolean hasEndedDone(String task) {
+        return runs(task).stream().anyMatch(Run::isDone);
+    }
+
+    synchronized long presentCount(Job job) {
+        return runs(job).stream().filter(Run::isPresent).count();
+    }
+
+    /** Returns all runs of a job. */
+    synchronized List<Run> runs(Job job) {
+        return job.tasks().flatMap(task -> runs(task).stream()).toList();
+    }
+
+    private List<Run> runs(String task) {
+        return mRuns.getOrDefault(task, List.of());
+    }
+
+    synchronized void violation(String what) {
+        mViolations.add(what);
+        mLog.line("ledger", "VIOLATION " + what);
+    }
+
+    synchronized List<String> violations() {
+        return List.copyOf(mViolations);
+    }
+
+    synchronized List<Job> jobs() {
+        return List.copyOf(mJobs.values());
+    }
+
+    synchronized String describe() {
+        int runCount = mRuns.values().stream().mapToInt(List::size).sum();
+        return mJobs.size() + " jobs, " + runCount + " runs, " + mViolations.size() + " violations";
+    }
+}
--- /dev/null
+++ b/org.hornbeamward.soak.test/tst/org/hornbeamward/soak/Soak.java
@@ -0,0 +1,123 @@
+package org.hornbeamward.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Objects;
+import java.util.Random;
+import java.util.stream.Stream;
+
+/**
+ * A soak: real entry processes with stand-ins of the store, workers and clients on loopback
+ * addresses, and faults from outside in series that a seed determines. The processes are not
+ * simulated, so a seed gives the same faults but not the same interleaving.
+ */
+final class Soak {
+    static final int TASK_CPU_MILLICORES = 1_000;
+
+    /** Bounds in the settings of the entries. */
+    static final long HEARTBEAT_MILLIS = 1_500;
+
+    static final long LONGEST_LEASE_MILLIS = 6_000;
+
+    private static final int MIN_WORKER_COUNT = 2;
+    private static final int MAX_WORKER_COUNT = 6;
+    private static final long READY_LIMIT_MILLIS = 20_000;
+
+    /** Bound on the completion of all jobs after the faults; the platform's is 14 s. */
+    private static final long FINISH_LIMIT_MILLIS = 30_000;
+
+    private final long mSeed = Long.getLong("hornbeamward.soak.seed", 1);
+
+    /** How long jobs are submitted and faults begin. */
+    private final long mFaultMillis = 1_000 * Long.getLong("hornbeamward.soak.seconds", 15);
+
+    /** Folder with the logs of the soak and of the entries. */
+    final Path mFolder = Path.of("target", "soak", "seed-" + mSeed).toAbsolutePath();
+
+    private final SoakLog mLog;
+    private final RunLedger mLedger;
+    private final List<EntryProcess> mEntries = new ArrayList<>();
+    private final List<WorkerStandIn> mWorkers = new ArrayList<>();
+
+    /** Prepares a soak that the system properties describe. */
+    Soak() throws IOException {
+        Files.createDirectories(mFolder);
+        try (Stream<Path> files = Files.list(mFolder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        mLog = new SoakLog(mFolder.resolve("soak.log"));
+        mLedger = new RunLedger(mLog);
+    }
+
+    static String resource(String name) throws IOException {
+        try (InputStream stream = Soak.class.getResourceAsStream(name)) {
+            byte[] bytes = Objects.requireNonNull(stream, name).readAllBytes();
+            return new String(bytes, StandardCharsets.UTF_8);
+        }
+    }
+
+    /** Runs the soak and returns the violations of the rules. */
+    List<String> run() throws IOException, InterruptedException {
+        Thread hook = new Thread(() -> mEntries.forEach(EntryProcess::kill));
+        Runtime.getRuntime().addShutdownHook(hook);
+        try (StoreStandIn store = new StoreStandIn()) {
+            start(store);
+            long until = SoakLog.nowMillis() + mFaultMillis;
+            FaultSeries faults = new FaultSeries(mLog, mEntries, mWorkers, mSeed, until);
+            Clients clients = new Clients(mLedger, mEntries, mSeed);
+            clients.run(until);
+            faults.join();
+            mLog.line("soak", "the faults have ended");
+            clients.finish(FINISH_LIMIT_MILLIS);
+        } finally {
+            mEntries.forEach(EntryProcess::kill);
+            mWorkers.forEach(WorkerStandIn::crash);
+            Runtime.getRuntime().removeShutdownHook(hook);
+        }
+        List<String> violations = mLedger.violations();
+        String summary = "seed " + mSeed + ": " + mEntries.size() + " entries, ";
+        summary += mWorkers.size() + " workers, " + mLedger.describe();
+        mLog.line("soak", summary);
+        System.out.println(summary);
+        return violations;
+    }
+
+    private void start(StoreStandIn store) throws IOException {
+        Random random = new Random(mSeed);
+        int entryCount = 2 + random.nextInt(2);
+        int workerCount =
+                MIN_WORKER_COUNT + random.nextInt(MAX_WORKER_COUNT - MIN_WORKER_COUNT + 1);
+        store.put(StoreStandIn.OPERATOR_TOPIC, "config", resource("config.json"));
+        for (int i = 0; i < workerCount; i++) {
+            String zone = "zone-" + i % entryCount;
+            mWorkers.add(new WorkerStandIn(store, mLedger, mLog, i, zone, random.nextLong()));
+            mWorkers.get(i).start(0);
+        }
+        for (int i = 0; i < entryCount; i++) {
+            mEntries.add(new EntryProcess(mFolder, i, "zone-" + i, store.address(), mLog));
+            mEntries.get(i).start();
+        }
+        long until = SoakLog.nowMillis() + READY_LIMIT_MILLIS;
+        while (!mEntries.stream().allMatch(EntryProcess::isReady)
+                || mEntries.stream().noneMatch(EntryProcess::isLeading)) {
+            if (SoakLog.nowMillis() > until) {
+                throw new IOException("the entries are not ready; logs: " + mFolder);
+            }
+            SoakLog.sleep(100);
+        }
+    }
+
+    /** Runs one soak; the exit code is 1 after a violation. */
+    public static void main(String[] arguments) throws IOException, InterruptedException {
+        List<String> violations = new Soak().run();
+        violations.forEach(System.out::println);
+        Runtime.getRuntime().exit(violations.isEmpty() ? 0 : 1);
+    }
+}
