Send no acknowledgement to a worker that does not answer

Cause: the numbers of ends begin anew in each incarnation of a worker, and a poll names only the worker. A poll that acknowledged ends of the ended incarnation got no answer and was repeated until one was answered, so the repeats reached the later incarnation. One of them was carried out 0.5 s after it was sent, when the later incarnation had completed a run, and made it forget that end before the leader had seen it. Observed: acknowledgement of end 2 sent at 36.277 to the incarnation born at 35.995, run done at 36.711, its end forgotten at 36.748, gone at 36.980, second start at 37.063.

Change: a worker whose last poll failed gets no acknowledgement before it has answered one; that answer shows a restart. What remains is an acknowledgement that is sent for the first time within the delay after the last answer in which a worker restarts, that gets no answer, and that is carried out only after the later incarnation has completed a run.

aLatePollDoesNotAcknowledgeAnEndOfARestartedWorker failed before (13 starts instead of 9) and passes now; the 127 tests of org.hornbeamward.dispatch.test pass.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -61,6 +61,9 @@
     /** Delay after which start orders take effect; a delayed order gets no answer; 0 for none. */
     public long startDelayMillis;
 
+    /** Delay after which polls take effect; a delayed poll gets no answer; 0 for none. */
+    public long pollDelayMillis;
+
     /** Duration of each run. */
     public long taskMillis = 500;
 
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
@@ -149,6 +149,15 @@
             long timeoutMillis) {
         pollCount++;
         FakeWorker worker = get(entry.id().value());
+        if (worker.pollDelayMillis > 0) {
+            mLoop.schedule(
+                    worker.pollDelayMillis,
+                    () -> worker.poll(deadlineClockMillis, token, acknowledgedEnd));
+            CompletableFuture<PollOutcome> answer = new CompletableFuture<>();
+            mLoop.schedule(
+                    timeoutMillis, () -> answer.complete(new PollOutcome.Failed("no answer")));
+            return answer;
+        }
         return call(
                 entry,
                 timeoutMillis,
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -24,6 +24,12 @@
         }
     }
 
+    private void setPollDelayMillis(long millis) {
+        for (String name : NAMES) {
+            worker(name).pollDelayMillis = millis;
+        }
+    }
+
     private void restartAll() {
         for (String name : NAMES) {
             worker(name).restart();
@@ -166,6 +172,33 @@
         assertEquals(9, mFixture.startedCount());
     }
 
+    /**
+     * Guards against a poll without an answer that a restarted worker carries out late, so that it
+     * forgets an end that the leader has not seen.
+     */
+    @Test
+    void aLatePollDoesNotAcknowledgeAnEndOfARestartedWorker() {
+        setTaskMillis(300);
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(300);
+        JobId first = mFixture.submit("first", LeaderFixture.step(8, 1_000));
+        mFixture.mLoop.advance(500);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(first));
+        // The acknowledgement is due 300 ms after the end and does not reach the worker.
+        setPollDelayMillis(60_000);
+        mFixture.mLoop.advance(900);
+        restartAll();
+        setPollDelayMillis(1_100);
+        mFixture.mLoop.advance(350);
+        publishEntries();
+        JobId second = mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(1_000);
+        setPollDelayMillis(0);
+        mFixture.mLoop.advance(8_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(second));
+        assertEquals(9, mFixture.startedCount());
+    }
+
     /** Guards against tasks that wait for a worker whose address another worker has taken. */
     @Test
     void tasksOfAWorkerWhoseAddressIsTakenStartElsewhere() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -624,8 +624,10 @@
                 unresolved || silent() || mRuns.isEmpty()
                         ? 0
                         : shared ? SHARED_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
-        // A repeated acknowledgement would make a worker that has restarted forget its first ends.
-        long acknowledged = mAcknowledgedEndNumber < mStoredEndNumber ? mStoredEndNumber : 0;
+        // An acknowledgement for an ended incarnation would make a worker that has restarted forget
+        // its first ends, so none is repeated, and none is sent before a silent worker answers.
+        boolean acknowledges = !silent() && mAcknowledgedEndNumber < mStoredEndNumber;
+        long acknowledged = acknowledges ? mStoredEndNumber : 0;
         guarded(
                         () ->
                                 mControl.poll(
