Acknowledge ends only to an incarnation that has just answered

A poll names the worker but not its incarnation. Ends that were stored while the worker restarted were acknowledged to the restarted worker, which forgot its own first ends, unseen.

An acknowledgement now goes out only within 100 ms after a poll answer of the session's incarnation, since a process takes longer to start, and only while no run may be present on a later incarnation: such a run may already have ended there. If an answer is older, a poll without an acknowledgement comes first; the worker answers it at once, as it has ends to report. While a start order is in flight, polls that cannot acknowledge anything are 150 ms apart.

The two new tests failed on the code before (4 ends acknowledged that no one had seen; the second job never completed).

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -166,6 +166,50 @@
         assertEquals(9, mFixture.startedCount());
     }
 
+    /** Restarts the workers after they have reported ends that are stored only afterwards. */
+    private void restartBeforeEndsAreAcknowledged() {
+        setTaskMillis(300);
+        mFixture.startDispatcher(1);
+        JobId job = mFixture.submit("first", LeaderFixture.step(8, 1_000));
+        mFixture.mLoop.advance(200);
+        assertEquals(8, mFixture.runningCount());
+        mFixture.mStore.down = true;
+        mFixture.mLoop.advance(500);
+        assertEquals(0, mFixture.runningCount());
+        restartAll();
+        mFixture.mStore.down = false;
+        while (mFixture.mPhases.get(job) != JobPhase.COMPLETED) {
+            mFixture.mLoop.advance(5);
+        }
+    }
+
+    /**
+     * Guards against a done task that runs again: a poll acknowledged ends of the ended incarnation
+     * after the restarted worker had accepted a run.
+     */
+    @Test
+    void anEndOfANewRunIsNotAcknowledgedWithThoseOfTheEndedIncarnation() {
+        restartBeforeEndsAreAcknowledged();
+        JobId job = mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(3_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+        assertEquals(9, mFixture.startedCount());
+    }
+
+    /** Guards against the same when the acknowledgement arrives before the run is ordered. */
+    @Test
+    void aWorkerThatHasRestartedSinceItsLastAnswerGetsNoAcknowledgement() {
+        restartBeforeEndsAreAcknowledged();
+        mFixture.mLoop.advance(500);
+        assertEquals(0, worker("w1").acknowledgedEnd());
+        assertEquals(0, worker("w2").acknowledgedEnd());
+        publishEntries();
+        JobId job = mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(3_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+        assertEquals(9, mFixture.startedCount());
+    }
+
     /** Guards against tasks that wait for a worker whose address another worker has taken. */
     @Test
     void tasksOfAWorkerWhoseAddressIsTakenStartElsewhere() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -60,6 +60,12 @@
      */
     private static final long SILENT_POLL_INTERVAL_MILLIS = 500;
 
+    /**
+     * Time after a poll answer within which no later incarnation of the worker can take calls,
+     * since a process takes longer to start.
+     */
+    private static final long SAME_INCARNATION_MILLIS = 100;
+
     /** Delay before a poll that is sent only to acknowledge ends. */
     private static final long ACKNOWLEDGE_DELAY_MILLIS = 300;
 
@@ -193,6 +199,10 @@
     private boolean mAcknowledgePollScheduled;
     private int mFailedPollCount;
     private long mPollSentMillis = Long.MIN_VALUE / 2;
+
+    /** Monotonic time at which a poll was last answered. */
+    private long mAnsweredMillis = Long.MIN_VALUE / 2;
+
     private long mSeenEndNumber;
     private long mStoredEndNumber;
     private long mAcknowledgedEndNumber;
@@ -582,7 +592,7 @@
         }
         boolean hasSentRuns =
                 mRuns.values().stream().anyMatch(run -> run.state != Run.State.DECIDED);
-        if (hasSentRuns || isProbeDue()) {
+        if (hasSentRuns || isProbeDue() || isAcknowledgementDue()) {
             sendPoll();
         } else if (mAcknowledgedEndNumber < mStoredEndNumber && !mAcknowledgePollScheduled) {
             mAcknowledgePollScheduled = true;
@@ -624,8 +634,7 @@
                 unresolved || silent() || mRuns.isEmpty()
                         ? 0
                         : shared ? SHARED_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
-        // A repeated acknowledgement would make a worker that has restarted forget its first ends.
-        long acknowledged = mAcknowledgedEndNumber < mStoredEndNumber ? mStoredEndNumber : 0;
+        long acknowledged = isAcknowledgementDue() ? mStoredEndNumber : 0;
         guarded(
                         () ->
                                 mControl.poll(
@@ -639,6 +648,26 @@
                 .thenAccept(outcome -> pollAnswered(outcome, sentMillis, acknowledged));
     }
 
+    /**
+     * Returns whether the next poll acknowledges ends. A worker that has restarted would forget its
+     * own first ends, so nothing is acknowledged twice, or while an order may have been carried out
+     * by a later incarnation.
+     */
+    private boolean isAcknowledgementDue() {
+        return mAcknowledgedEndNumber < mStoredEndNumber
+                && mLoop.nowMillis() - mAnsweredMillis <= SAME_INCARNATION_MILLIS
+                && mRuns.values().stream().noneMatch(Run::mayBeOnLaterIncarnation);
+    }
+
+    /**
+     * Returns whether the worker answers polls at once, with ends that cannot be acknowledged
+     * before a start order is answered.
+     */
+    private boolean isAcknowledgementWithheld() {
+        return mAcknowledgedEndNumber < mStoredEndNumber
+                && mRuns.values().stream().anyMatch(run -> run.state == Run.State.ORDERED);
+    }
+
     /**
      * Returns whether any poll answer shows if a run is present, so that the poll must not wait for
      * a run to end.
@@ -672,11 +701,13 @@
                     mSupervisor.leaseBoundChanged();
                 }
                 mAcknowledgedEndNumber = Math.max(mAcknowledgedEndNumber, acknowledged);
+                mAnsweredMillis = mLoop.nowMillis();
                 noteClock(seen.clockMillis());
                 noteReached();
                 applyReports(seen, sentMillis);
                 mSupervisor.polled(this);
-                if (mRuns.values().stream().anyMatch(this::isUnresolved)) {
+                if (mRuns.values().stream().anyMatch(this::isUnresolved)
+                        || isAcknowledgementWithheld()) {
                     mLoop.schedule(POLL_RETRY_MILLIS, this::poll);
                 } else {
                     poll();
