Take the worker's clock from a rejected order

A start order's deadline is 2 s after the leader's lower bound for the worker's clock. The bound falls behind while a worker is idle, by up to 3%, so that after 69 s (213 s for a clock that is 2% slow) every deadline lay in the past. It also falls behind when the leader was paused between an answer and its handling. The rejection did not update the bound, nobody polls an idle worker, and the task was placed on it again at once, with an append for each attempt.

The clock in a rejection is now noted like that of any other answer, so the next order is in time. PROTOCOL.md says that every response with a body tells the clock.

The new test failed before: the job was still queued 1 s after it had been submitted to workers that had been idle for 300 s.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -184,15 +184,15 @@
     OrderOutcome start(StartOrder order) {
         expireLeases();
         if (order.fencingToken() < mHighestToken) {
-            return new OrderOutcome.Rejected(Rejection.FENCED);
+            return new OrderOutcome.Rejected(Rejection.FENCED, clockMillis());
         }
         mHighestToken = order.fencingToken();
         extendLeases(order.deadlineClockMillis());
         if (clockMillis() > order.deadlineClockMillis()) {
-            return new OrderOutcome.Rejected(Rejection.LATE);
+            return new OrderOutcome.Rejected(Rejection.LATE, clockMillis());
         }
         if (order.attempt() <= mHighestEndedAttempts.getOrDefault(order.task(), 0)) {
-            return new OrderOutcome.Rejected(Rejection.SUPERSEDED);
+            return new OrderOutcome.Rejected(Rejection.SUPERSEDED, clockMillis());
         }
         if (mRunning.putIfAbsent(order.task(), order.attempt()) == null) {
             started.add(order.task());
@@ -216,7 +216,7 @@
 
     OrderOutcome stop(TaskName task, int attempt, long token) {
         if (token < mHighestToken) {
-            return new OrderOutcome.Rejected(Rejection.FENCED);
+            return new OrderOutcome.Rejected(Rejection.FENCED, clockMillis());
         }
         mHighestToken = token;
         Integer running = mRunning.get(task);
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/SlowWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/SlowWorkerTest.java
@@ -194,4 +194,17 @@
         mFixture.mLoop.advance(5_000);
         assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
     }
+
+    /**
+     * Guards against a worker that refuses every start as late: the leader's lower bound for the
+     * clock of a worker that has been idle for minutes is over two seconds behind.
+     */
+    @Test
+    void aTaskStartsOnAWorkerThatHasBeenIdleForMinutes() {
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(300_000);
+        JobId job = mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(1_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -434,7 +434,13 @@
                 noteClock(done.clockMillis());
                 markPresent(run);
             }
-            case OrderOutcome.Rejected rejected -> startRejected(run, rejected.reason());
+            case OrderOutcome.Rejected rejected -> {
+                if (rejected.clockMillis() > 0) {
+                    // The deadline of the next order counts from it.
+                    noteClock(rejected.clockMillis());
+                }
+                startRejected(run, rejected.reason());
+            }
             case OrderOutcome.NotDone notDone -> {
                 pausePlacements(FAILED_START_PAUSE_MILLIS);
                 mSupervisor.runGone(run, "not started: " + notDone.reason());
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
@@ -63,8 +63,9 @@
          * The worker rejected the order.
          *
          * @param reason why
+         * @param clockMillis the worker's clock; 0 if the answer does not tell it
          */
-        record Rejected(Rejection reason) implements OrderOutcome {}
+        record Rejected(Rejection reason, long clockMillis) implements OrderOutcome {}
 
         /**
          * The order was not carried out and will not be.
