Bound the leases of a worker that has restarted unnoticed

A worker restarted, accepted a start and was gone before a poll showed the restart, about a second later at most. Its answer to the start had set the session's clock reading to that of the new incarnation, while the lease deadline was a time on the clock of the ended one, so the leader waited for as long as the ended incarnation had been up.

A worker shortens every lease to the longest that it accepts, so the leader now assumes no lease that ends later than that, counted from the last call that can have granted one and the time in which it is answered. While the clock reading belongs to the session's incarnation, the deadline on the worker's clock is the earlier bound as before.

The new test failed before: 9 s after the worker had gone, the task was not started elsewhere (the ended incarnation had been up for 60 s). It checks that the task does not start within the first 6 s, too.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -210,6 +210,27 @@
         assertEquals(9, mFixture.startedCount());
     }
 
+    /**
+     * Guards against a task that waits for minutes: the worker restarted, accepted it and was gone
+     * before a poll showed the restart, and lease times on the clock of the ended incarnation lie
+     * far ahead on the new clock.
+     */
+    @Test
+    void theTaskOfAWorkerThatIsLostRightAfterItsRestartStartsElsewhere() {
+        setTaskMillis(30_000);
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(60_000);
+        restartAll();
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(60);
+        FakeWorker busy = worker("w1").running().isEmpty() ? worker("w2") : worker("w1");
+        assertEquals(1, mFixture.startedCount());
+        busy.refusesConnections = true;
+        advanceAndExpectRunsAtMost(1, 6_000);
+        mFixture.mLoop.advance(3_000);
+        assertEquals(2, mFixture.startedCount());
+    }
+
     /** Guards against tasks that wait for a worker whose address another worker has taken. */
     @Test
     void tasksOfAWorkerWhoseAddressIsTakenStartElsewhere() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -710,6 +710,11 @@
                 : 0;
     }
 
+    @Override
+    public long longestLeaseMillis() {
+        return mLimits.longestLeaseMillis();
+    }
+
     @Override
     public boolean mayOrder() {
         return mOpen && mReady && mWriter.unconfirmedMillis() < MAX_UNCONFIRMED_MILLIS;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -131,6 +131,9 @@
          */
         long leaseMillis();
 
+        /** Returns the length in milliseconds of the longest lease that workers accept. */
+        long longestLeaseMillis();
+
         /** Returns whether orders may be sent. */
         boolean mayOrder();
 
@@ -215,6 +218,9 @@
     /** Time on the worker's clock until which the orders and polls that it may have got lease. */
     private long mLeaseDeadlineClockMillis;
 
+    /** Monotonic time at which the last call was sent that the worker may have got a lease by. */
+    private long mLeaseSentMillis = Long.MIN_VALUE / 2;
+
     /** Time on the worker's clock until which the poll in flight leases; 0 for none. */
     private long mOfferedLeaseClockMillis;
 
@@ -388,6 +394,7 @@
     void start(Run run) {
         long deadlineClockMillis = clockNowMillis() + ORDER_VALID_MILLIS;
         mLeaseDeadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, deadlineClockMillis);
+        mLeaseSentMillis = mLoop.nowMillis();
         run.state = Run.State.ORDERED;
         run.orderExpiresAtMillis = passedAtMillis(deadlineClockMillis);
         WorkerControl.StartOrder order =
@@ -684,9 +691,10 @@
 
     private void pollAnswered(PollOutcome outcome, long sentMillis, long acknowledged) {
         mPollInFlight = false;
-        if (!(outcome instanceof PollOutcome.NotSent)) {
+        if (!(outcome instanceof PollOutcome.NotSent) && mOfferedLeaseClockMillis > 0) {
             mLeaseDeadlineClockMillis =
                     Math.max(mLeaseDeadlineClockMillis, mOfferedLeaseClockMillis);
+            mLeaseSentMillis = Math.max(mLeaseSentMillis, sentMillis);
         }
         mOfferedLeaseClockMillis = 0;
         if (mClosed) {
@@ -787,7 +795,17 @@
     /** Returns the monotonic time after which all leases must have lapsed on the worker. */
     private long leaseEndMillis() {
         long deadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, mOfferedLeaseClockMillis);
-        return Math.max(mInheritedLeaseEndMillis, passedAtMillis(deadlineClockMillis));
+        long sentMillis =
+                mOfferedLeaseClockMillis > 0
+                        ? Math.max(mLeaseSentMillis, mPollSentMillis)
+                        : mLeaseSentMillis;
+        // A deadline on the clock of the session's incarnation may lie far ahead on that of a later
+        // one, which shortens it to the longest lease.
+        long longestEndMillis =
+                sentMillis + ANSWER_TIMEOUT_MILLIS + toOwnClock(mSupervisor.longestLeaseMillis());
+        return Math.max(
+                mInheritedLeaseEndMillis,
+                Math.min(passedAtMillis(deadlineClockMillis), longestEndMillis));
     }
 
     boolean silent() {
