--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -196,7 +196,7 @@
     OrderOutcome start(StartOrder order) {
         expireLeases();
         if (order.fencingToken() < mHighestToken) {
-            return new OrderOutcome.Rejected(Rejection.FENCED);
+            return new OrderOutcome.Rejected(Rejection.FENCED, clockMillis());
         }
         mHighestToken = order.fencingToken();
         extendLeases(order.deadlineClockMillis());
@@ -207,7 +207,7 @@
             return new OrderOutcome.Rejected(Rejection.LATE, clockMillis());
         }
         if (order.attempt() <= mHighestEndedAttempts.getOrDefault(order.task(), 0)) {
-            return new OrderOutcome.Rejected(Rejection.SUPERSEDED);
+            return new OrderOutcome.Rejected(Rejection.SUPERSEDED, clockMillis());
         }
         if (mRunning.putIfAbsent(order.task(), order.attempt()) == null) {
             started.add(order.task());
@@ -231,7 +231,7 @@
 
     OrderOutcome stop(TaskName task, int attempt, long token) {
         if (token < mHighestToken) {
-            return new OrderOutcome.Rejected(Rejection.FENCED);
+            return new OrderOutcome.Rejected(Rejection.FENCED, clockMillis());
         }
         mHighestToken = token;
         Integer running = mRunning.get(task);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -60,6 +60,12 @@
      */
     private static final long SILENT_POLL_INTERVAL_MILLIS = 500;
 
+    /**
+     * Time after a poll answer within which no later incarnation of the worker can take calls,
+     * since a process takes longer to start.
+     */
+    private static final long SAME_INCARNATION_MILLIS = 100;
+
     /** Delay before a poll that is sent only to acknowledge ends. */
     private static final long ACKNOWLEDGE_DELAY_MILLIS = 300;
 
@@ -125,6 +131,9 @@
          */
         long leaseMillis();
 
+        /** Returns the length in milliseconds of the longest lease that workers accept. */
+        long longestLeaseMillis();
+
         /** Returns whether orders may be sent. */
         boolean mayOrder();
 
@@ -196,6 +205,10 @@
     private boolean mAcknowledgePollScheduled;
     private int mFailedPollCount;
     private long mPollSentMillis = Long.MIN_VALUE / 2;
+
+    /** Monotonic time at which a poll was last answered. */
+    private long mAnsweredMillis = Long.MIN_VALUE / 2;
+
     private long mSeenEndNumber;
     private long mStoredEndNumber;
     private long mAcknowledgedEndNumber;
@@ -208,6 +221,9 @@
     /** Time on the worker's clock until which the orders and polls that it may have got lease. */
     private long mLeaseDeadlineClockMillis;
 
+    /** Monotonic time at which the last call was sent that the worker may have got a lease by. */
+    private long mLeaseSentMillis = Long.MIN_VALUE / 2;
+
     /** Time on the worker's clock until which the poll in flight leases; 0 for none. */
     private long mOfferedLeaseClockMillis;
 
@@ -388,6 +404,7 @@
     void start(Run run) {
         long deadlineClockMillis = clockNowMillis() + ORDER_VALID_MILLIS;
         mLeaseDeadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, deadlineClockMillis);
+        mLeaseSentMillis = mLoop.nowMillis();
         run.state = Run.State.ORDERED;
         run.orderExpiresAtMillis = passedAtMillis(deadlineClockMillis);
         WorkerControl.StartOrder order =
@@ -613,7 +630,7 @@
         }
         boolean hasSentRuns =
                 mRuns.values().stream().anyMatch(run -> run.state != Run.State.DECIDED);
-        if (hasSentRuns || isProbeDue()) {
+        if (hasSentRuns || isProbeDue() || isAcknowledgementDue()) {
             sendPoll();
         } else if (mAcknowledgedEndNumber < mStoredEndNumber && !mAcknowledgePollScheduled) {
             mAcknowledgePollScheduled = true;
@@ -655,10 +672,7 @@
                 unresolved || silent() || mRuns.isEmpty()
                         ? 0
                         : shared ? SHARED_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
-        // An acknowledgement for an ended incarnation would make a worker that has restarted forget
-        // its first ends, so none is repeated, and none is sent before a silent worker answers.
-        boolean acknowledges = !silent() && mAcknowledgedEndNumber < mStoredEndNumber;
-        long acknowledged = acknowledges ? mStoredEndNumber : 0;
+        long acknowledged = isAcknowledgementDue() ? mStoredEndNumber : 0;
         guarded(
                         () ->
                                 mControl.poll(
@@ -673,6 +687,27 @@
                 .thenAccept(outcome -> pollAnswered(outcome, sentMillis, acknowledged));
     }
 
+    /**
+     * Returns whether the next poll acknowledges ends. A worker that has restarted would forget its
+     * own first ends, so nothing is acknowledged twice, to a silent worker, or while an order may
+     * have been carried out by a later incarnation.
+     */
+    private boolean isAcknowledgementDue() {
+        return mAcknowledgedEndNumber < mStoredEndNumber
+                && !silent()
+                && mLoop.nowMillis() - mAnsweredMillis <= SAME_INCARNATION_MILLIS
+                && mRuns.values().stream().noneMatch(Run::mayBeOnLaterIncarnation);
+    }
+
+    /**
+     * Returns whether the worker answers polls at once, with ends that cannot be acknowledged
+     * before a start order is answered.
+     */
+    private boolean isAcknowledgementWithheld() {
+        return mAcknowledgedEndNumber < mStoredEndNumber
+                && mRuns.values().stream().anyMatch(run -> run.state == Run.State.ORDERED);
+    }
+
     /**
      * Returns whether any poll answer shows if a run is present, so that the poll must not wait for
      * a run to end.
@@ -683,9 +718,10 @@
 
     private void pollAnswered(PollOutcome outcome, long sentMillis, long acknowledged) {
         mPollInFlight = false;
-        if (!(outcome instanceof PollOutcome.NotSent)) {
+        if (!(outcome instanceof PollOutcome.NotSent) && mOfferedLeaseClockMillis > 0) {
             mLeaseDeadlineClockMillis =
                     Math.max(mLeaseDeadlineClockMillis, mOfferedLeaseClockMillis);
+            mLeaseSentMillis = Math.max(mLeaseSentMillis, sentMillis);
         }
         mOfferedLeaseClockMillis = 0;
         if (mClosed) {
@@ -706,11 +742,13 @@
                     mSupervisor.leaseBoundChanged();
                 }
                 mAcknowledgedEndNumber = Math.max(mAcknowledgedEndNumber, acknowledged);
+                mAnsweredMillis = mLoop.nowMillis();
                 noteClock(seen.clockMillis());
                 noteReached();
                 applyReports(seen, sentMillis);
                 mSupervisor.polled(this);
-                if (mRuns.values().stream().anyMatch(this::isUnresolved)) {
+                if (mRuns.values().stream().anyMatch(this::isUnresolved)
+                        || isAcknowledgementWithheld()) {
                     mLoop.schedule(POLL_RETRY_MILLIS, this::poll);
                 } else {
                     poll();
@@ -784,7 +822,17 @@
     /** Returns the monotonic time after which all leases must have lapsed on the worker. */
     private long leaseEndMillis() {
         long deadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, mOfferedLeaseClockMillis);
-        return Math.max(mInheritedLeaseEndMillis, passedAtMillis(deadlineClockMillis));
+        long sentMillis =
+                mOfferedLeaseClockMillis > 0
+                        ? Math.max(mLeaseSentMillis, mPollSentMillis)
+                        : mLeaseSentMillis;
+        // A deadline on the clock of the session's incarnation may lie far ahead on that of a later
+        // one, which shortens it to the longest lease.
+        long longestEndMillis =
+                sentMillis + ANSWER_TIMEOUT_MILLIS + toOwnClock(mSupervisor.longestLeaseMillis());
+        return Math.max(
+                mInheritedLeaseEndMillis,
+                Math.min(passedAtMillis(deadlineClockMillis), longestEndMillis));
     }
 
     boolean silent() {
