Count the failed runs of a gang once for the gang

Cause: Dispatcher.taskFailed counted at the task that reported the end.

Evidence: GangTest.aGangFailsAfterItsRunsHaveFailedOftenEnoughWhicheverMemberReportsIt failed before with 10 starts of members instead of 6.

Change: the first task of a gang counts for all, once for each run, also if several members fail in it. It stores the number of the last failed run in its progress, so that a new leader doesn't count a run again (twoMembersThatFailInOneRunCountOnce, which passed before as well and guards against counting both). Records without that number are read as before.

Conclusion: GangTest passes.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GangTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GangTest.java
@@ -5,6 +5,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hornbeamward.dispatch.fake.FakeWorker;
+import org.hornbeamward.dispatch.job.JobPhase;
+import org.hornbeamward.dispatch.port.WorkerControl.EndKind;
+import org.hornbeamward.lib.JobId;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -82,4 +85,53 @@
         checkpoint.offer("", 2, 50);
         assertEquals("b10", checkpoint.value());
     }
+
+    private FakeWorker workerOf(int index) {
+        return mFirst.running().stream().anyMatch(task -> task.index() == index) ? mFirst : mSecond;
+    }
+
+    /**
+     * Guards against a gang whose members fail in turn and that is started far more often than its
+     * queue allows, since each member had failures left.
+     */
+    @Test
+    void aGangFailsAfterItsRunsHaveFailedOftenEnoughWhicheverMemberReportsIt() {
+        mFirst.taskMillis = 500;
+        mSecond.taskMillis = 500;
+        mFixture.startDispatcher(1);
+        JobId job = mFixture.submit("job", LeaderFixture.gang(2, 3_000));
+        for (int round = 0; round < 8; round++) {
+            for (int waited = 0; waited < 300 && mFixture.runningCount() < 2; waited++) {
+                mFixture.mLoop.advance(10);
+            }
+            workerOf(round % 2).endKind = EndKind.FAILED;
+            workerOf(1 - round % 2).endKind = EndKind.GANG_BROKEN;
+            mFixture.mLoop.advance(520);
+        }
+
+        assertEquals(JobPhase.FAILED, mFixture.mPhases.get(job));
+        assertEquals(3 * 2, mFixture.startedCount());
+    }
+
+    /**
+     * Guards against a run that counts twice, and a job that fails too early, because two members
+     * have failed in it and a new leader took over in between.
+     */
+    @Test
+    void twoMembersThatFailInOneRunCountOnce() {
+        mFirst.taskMillis = 500;
+        mSecond.taskMillis = 1_500;
+        mFirst.endKind = EndKind.FAILED;
+        mSecond.endKind = EndKind.FAILED;
+        Dispatcher first = mFixture.startDispatcher(1);
+        JobId job = mFixture.submit("job", LeaderFixture.gang(2, 3_000));
+        mFixture.mLoop.advance(1_000);
+        assertEquals(1, mFixture.runningCount());
+        first.close();
+        mFixture.startDispatcher(2);
+        mFixture.mLoop.advance(20_000);
+
+        assertEquals(JobPhase.FAILED, mFixture.mPhases.get(job));
+        assertEquals(3 * 2, mFixture.startedCount());
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -777,7 +777,7 @@
             case DONE -> taskDone(worker, task);
             case FAILED -> {
                 if (current) {
-                    taskFailed(worker, task);
+                    taskFailed(worker, task, end.attempt());
                 }
             }
             case STOPPED, LAPSED, GANG_BROKEN, GANG_INCOMPLETE -> {}
@@ -807,14 +807,19 @@
         }
     }
 
-    private void taskFailed(WorkerSession worker, Task task) {
+    private void taskFailed(WorkerSession worker, Task task, int attempt) {
         worker.failureStreak++;
-        task.failureCount++;
         task.failedOn = worker.id();
         Job job = task.step.job;
         mJobs.markChanged(job);
+        Task counter = task.step.failureCounter(task);
+        if (task.step.spec.gang() && attempt <= counter.lastFailedAttempt) {
+            return; // Another member has failed in the same run of the gang.
+        }
+        counter.lastFailedAttempt = attempt;
+        counter.failureCount++;
         int limit = job.queue == null ? Integer.MAX_VALUE : job.queue.attemptLimit();
-        if (!job.terminal() && !task.step.spec.longRunning() && task.failureCount >= limit) {
+        if (!job.terminal() && !task.step.spec.longRunning() && counter.failureCount >= limit) {
             job.phase = JobPhase.FAILED;
             stopRuns(job);
         }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
@@ -11,6 +11,12 @@
 final class ProgressCodec {
     private static final int FORMAT = 1;
 
+    /** Number of fields of a task without a run. */
+    private static final int TASK_FIELD_COUNT = 7;
+
+    /** Number of fields of a run. */
+    private static final int RUN_FIELD_COUNT = 3;
+
     private ProgressCodec() {}
 
     /**
@@ -41,7 +47,8 @@
 
     private static void write(Writer writer, Task task) {
         Run run = task.run;
-        writer.array(run == null ? 7 : 10)
+        boolean countsGang = task.step.spec.gang() && task.lastFailedAttempt > 0;
+        writer.array(TASK_FIELD_COUNT + (run == null ? 0 : RUN_FIELD_COUNT) + (countsGang ? 1 : 0))
                 .integer(task.name.occurrence())
                 .integer(task.name.step())
                 .integer(task.name.index())
@@ -54,6 +61,9 @@
                     .text(run.worker.id())
                     .integer(run.worker.incarnationStartWallMillis());
         }
+        if (countsGang) {
+            writer.integer(task.lastFailedAttempt);
+        }
     }
 
     /**
@@ -94,9 +104,13 @@
         task.failureCount = reader.int32();
         task.lastAttempt = reader.int32();
         task.checkpoint.restore(reader.text());
-        if (fieldCount > 7) {
+        if (fieldCount >= TASK_FIELD_COUNT + RUN_FIELD_COUNT) {
             int attempt = reader.int32();
             live.add(new LiveRun(task, attempt, reader.worker(), reader.integer()));
+            fieldCount -= RUN_FIELD_COUNT;
+        }
+        if (fieldCount > TASK_FIELD_COUNT) {
+            task.lastFailedAttempt = reader.int32();
         }
     }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Step.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Step.java
@@ -46,6 +46,11 @@
         return RunSpeed.usualMillis(Arrays.copyOf(others, count));
     }
 
+    /** Returns the task that counts the failed runs of a task: the first one of a gang. */
+    Task failureCounter(Task task) {
+        return spec.gang() ? tasks[0] : task;
+    }
+
     boolean done() {
         return doneCount == tasks.length;
     }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
@@ -12,7 +12,13 @@
     public final Step step;
     public final TaskName name;
     public boolean done;
+
+    /** Number of failed runs; the first task of a gang counts those of the gang. */
     public int failureCount;
+
+    /** The last failed run of a gang, kept by its first task; 0 if none has failed. */
+    public int lastFailedAttempt;
+
     public int lastAttempt;
 
     /** The newest checkpoint, shared by the members of a gang. */
