Restore the pace of fillers when tasks end and leaders change

Cause: FillerController.learnAndPace returned early on a worker without long-running tasks. A new leader took the pace of an inherited filler for 100 and sent no order for 100. An order without an answer left the old pace in the leader's books although the worker may have the new one.

Change: fillers are paced on every poll. A run that was inherited, may be on a later incarnation, or whose last pace order got no answer has an uncertain pace, which is set in any case: one call for each such filler.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -70,6 +70,15 @@
     /** How runs end. */
     public EndKind endKind = EndKind.DONE;
 
+    /** Load that every run reports. */
+    public double load;
+
+    /** The pace of every run whose pace was set, in percent. */
+    public final Map<TaskName, Integer> paces = new HashMap<>();
+
+    /** Whether pace orders take effect but get no answer. */
+    public boolean losesPaceAnswers;
+
     /** Number of start orders that were rejected because their deadline had passed. */
     public int lateCount;
 
@@ -253,7 +262,7 @@
         List<RunReport> running = new ArrayList<>();
         mRunning.forEach(
                 (task, attempt) ->
-                        running.add(new RunReport(task, attempt, checkpoint, percent(task), 0)));
+                        running.add(new RunReport(task, attempt, checkpoint, percent(task), load)));
         return new PollOutcome.Seen(
                 mIncarnationStartWallMillis,
                 clockMillis(),
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
@@ -140,7 +140,12 @@
             int percent,
             long token,
             long timeoutMillis) {
-        return completed(new OrderOutcome.Done(0));
+        FakeWorker worker = get(entry.id().value());
+        worker.paces.put(task, percent);
+        return completed(
+                worker.losesPaceAnswers
+                        ? new OrderOutcome.Unknown("answer lost")
+                        : new OrderOutcome.Done(0));
     }
 
     @Override
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/FillerController.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/FillerController.java
@@ -81,6 +81,8 @@
     /** Learns from the reports of a poll and adjusts the pace of the worker's fillers. */
     void learnAndPace(WorkerSession worker) {
         if (worker.longRunningCpuMillicores() == 0) {
+            // Fillers may have been slowed down for tasks that have ended.
+            pace(worker);
             return;
         }
         Map<String, Double> usedCores = new HashMap<>();
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -57,6 +57,13 @@
     public long stopConfirmedMillis = Long.MAX_VALUE;
 
     public int pacePercent = 100;
+
+    /**
+     * Whether the worker may have another pace: the run was started by a previous leader or may be
+     * on a later incarnation, or the last pace order got no answer.
+     */
+    public boolean paceUncertain;
+
     public boolean paceInFlight;
 
     /**
@@ -119,6 +126,7 @@
         run.stopping = stopping || run.state == State.UNKNOWN;
         run.resumed = resumed;
         run.pacePercent = pacePercent;
+        run.paceUncertain = true;
         return run;
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -533,7 +533,8 @@
 
     /** Sets the pace of a run. */
     void pace(Run run, int percent) {
-        if (run.paceInFlight || run.pacePercent == percent || run.state != Run.State.PRESENT) {
+        boolean alreadySet = run.pacePercent == percent && !run.paceUncertain;
+        if (run.paceInFlight || alreadySet || run.state != Run.State.PRESENT) {
             return;
         }
         run.paceInFlight = true;
@@ -551,6 +552,7 @@
                 .thenAccept(
                         outcome -> {
                             run.paceInFlight = false;
+                            run.paceUncertain = !(outcome instanceof OrderOutcome.Done);
                             if (outcome instanceof OrderOutcome.Done) {
                                 run.pacePercent = percent;
                             } else {
