Remove the progress of jobs that are removed

What operators saw: progress records stayed for ever, and every new leader loaded those of all jobs that ever ran. Besides, a new leader removed all ended jobs that it had loaded in one call; with 60,000 of them the call exceeds the store's 2 MiB, was refused, and the jobs stayed until the next leader, who failed in the same way.

Cause: Dispatcher.removeEndedJobs trimmed the jobs topic only, and without a limit.

Change: once the removal of a submission is confirmed, the next commits of the fenced writer remove its progress, 500 records at a time; not before, since a submission without progress would run again. Progress without a submission that is found at a takeover is removed as well, unless the submission is there but unreadable. At most 1,000 jobs are removed at once.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
@@ -10,6 +10,7 @@
 import org.hornbeamward.dispatch.port.Loop;
 import org.hornbeamward.dispatch.port.Store;
 import org.hornbeamward.dispatch.port.Topic;
+import org.jspecify.annotations.Nullable;
 
 /** An in-memory store that gives the answers and shows the faults of the platform's store. */
 public final class FakeStore implements Store {
@@ -28,6 +29,9 @@
     /** Whether every call is refused. */
     public boolean down;
 
+    /** Topic whose appends are refused; null for none. */
+    public @Nullable Topic refusedTopic;
+
     /** Number of the next appends that take effect but whose answers are lost. */
     public int loseAnswerCount;
 
@@ -75,7 +79,7 @@
     public CompletableFuture<AppendOutcome> append(
             Topic topic, List<KeyedRecord> records, Condition condition, long timeoutMillis) {
         appendCount++;
-        if (down) {
+        if (down || topic == refusedTopic) {
             return completeLater(ANSWER_MILLIS, new AppendOutcome.Refused("down"));
         }
         if (records.stream().mapToInt(KeyedRecord::byteCount).sum() > MAX_CALL_BYTES) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -85,6 +86,15 @@
      */
     private static final long READ_WAIT_MILLIS = 1_000;
 
+    /**
+     * Largest number of jobs that are removed at the same time. A new leader removes all ended jobs
+     * that it has loaded after the same time, and a call of the store takes 2 MiB.
+     */
+    private static final int MAX_JOB_REMOVALS = 1_000;
+
+    /** Largest number of progress records that one commit removes, so that it stays small. */
+    private static final int MAX_PROGRESS_REMOVALS = 500;
+
     private final Loop mLoop;
     private final Store mStore;
     private final WorkerControl mControl;
@@ -111,6 +121,9 @@
     private boolean mAwaitingConfirmation;
     private boolean mLeaseBoundChanged;
 
+    /** Jobs whose submissions are removed, and whose progress has to be removed. */
+    private final Set<JobId> mObsoleteProgress = new LinkedHashSet<>();
+
     /** Workers whose stored lease bounds belong to no session. */
     private final Set<WorkerId> mObsoleteLeaseBounds = new LinkedHashSet<>();
 
@@ -395,6 +408,12 @@
         Job job = JobId.parse(key).map(mJobs::get).getOrElse(() -> null);
         if (job == null) {
             LogEvent.RECORD_SKIPPED.log("progress of job " + key + ", which has no submission");
+            // Earlier leaders are fenced, and a submission is stored before its progress, so a
+            // submission that was not loaded has been removed.
+            JobId.parse(key)
+                    .toOption()
+                    .filter(id -> !mJobs.isUnreadable(id))
+                    .forEach(mObsoleteProgress::add);
             return 0;
         }
         boolean cancelled = job.phase == JobPhase.CANCELLED;
@@ -495,18 +514,20 @@
     private void removeEndedJobs() {
         long keepMillis = 2 * mLimits.statusMillis();
         List<KeyedRecord> removed = new ArrayList<>();
+        List<JobId> removedJobs = new ArrayList<>();
         for (Job job : new ArrayList<>(mJobs.all())) {
-            if (job.committedPhase.terminal()
+            if (removedJobs.size() < MAX_JOB_REMOVALS
+                    && job.committedPhase.terminal()
                     && job.liveRunCount == 0
                     && mLoop.nowMillis() - job.endedMillis > keepMillis) {
                 JobId id = job.submission.job();
                 mJobs.remove(job);
                 mStatusListener.jobRemoved(id);
+                removedJobs.add(id);
                 removed.add(new KeyedRecord(JobKeys.submission(id), null));
                 removed.add(new KeyedRecord(JobKeys.cancellation(id), null));
             }
         }
-        int jobCount = removed.size() / 2;
         for (JobId id : mJobs.removeOrphanedCancellations(mLoop.nowMillis() - keepMillis)) {
             removed.add(new KeyedRecord(JobKeys.cancellation(id), null));
         }
@@ -516,7 +537,14 @@
                             removed,
                             new Store.Condition.Always(),
                             FRESH_CONFIRMATION_MILLIS)
-                    .thenAccept(outcome -> LogEvent.JOBS_FORGOTTEN.log(jobCount, outcome));
+                    .thenAccept(
+                            outcome -> {
+                                LogEvent.JOBS_FORGOTTEN.log(removedJobs.size(), outcome);
+                                // Not before: a submission without progress would run again.
+                                if (outcome instanceof Store.AppendOutcome.Appended) {
+                                    mObsoleteProgress.addAll(removedJobs);
+                                }
+                            });
         }
     }
 
@@ -559,6 +587,7 @@
         Map<WorkerSession, Long> ends = new HashMap<>();
         mWorkers.all().forEach(worker -> ends.put(worker, worker.seenEndNumber()));
         List<KeyedRecord> records = new ArrayList<>();
+        addProgressRemovals(records);
         Map<Job, JobPhase> phases = new LinkedHashMap<>();
         for (Job job : changed) {
             records.add(new KeyedRecord(job.submission.job().value(), ProgressCodec.encode(job)));
@@ -583,6 +612,18 @@
                 });
     }
 
+    private void addProgressRemovals(List<KeyedRecord> records) {
+        Iterator<JobId> obsolete = mObsoleteProgress.iterator();
+        for (int count = 0; count < MAX_PROGRESS_REMOVALS && obsolete.hasNext(); count++) {
+            JobId id = obsolete.next();
+            obsolete.remove();
+            // A job that was submitted again under the id must not inherit the old progress.
+            Job successor = mJobs.get(id);
+            byte[] progress = successor == null ? null : ProgressCodec.encode(successor);
+            records.add(new KeyedRecord(id.value(), progress));
+        }
+    }
+
     /**
      * Adds the lease bounds of silent workers and removes those of workers that answer again.
      *
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -23,6 +24,7 @@
     private final Set<Job> mActive = new LinkedHashSet<>();
     private final Map<JobId, KnownCancellation> mCancellations = new HashMap<>();
     private final Set<Job> mChanged = new LinkedHashSet<>();
+    private final Set<JobId> mUnreadable = new HashSet<>();
     private @Nullable ClusterConfig mConfig;
 
     /** A cancellation and the monotonic time at which this leader read it. */
@@ -79,6 +81,7 @@
             }
             return job;
         } catch (Reader.MalformedInputException e) {
+            mUnreadable.add(id);
             LogEvent.RECORD_SKIPPED.log(e, "submission of job " + id + " cannot be read");
             return null;
         }
@@ -99,6 +102,11 @@
         return mJobs.get(id);
     }
 
+    /** Returns whether a submission was read that could not be decoded. */
+    boolean isUnreadable(JobId id) {
+        return mUnreadable.contains(id);
+    }
+
     Collection<Job> all() {
         return mJobs.values();
     }
