Add the age of the report to the age of the jobs before denying one

Cause: an entry denied a job if its last report was less than 1.5 s old and the leader's view of the jobs was less than 2.5 s old in that report; the two ages add up.

Change: a job is denied only if both ages together are below 2.9 s, which leaves 0.1 s for the way of a report; otherwise the answer is 503 with Retry-After. An idle leader's view is up to 2 s old and its reports come every 0.25 s, so the limit is not reached without a fault. Phases that wait to be sent go out before a heartbeat, which tells their age.

DELETE does not depend on the view: it stores a cancellation.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
@@ -132,6 +132,21 @@
         assertInstanceOf(JobOutcome.Unavailable.class, phase());
     }
 
+    /**
+     * Guards against a job that is denied more than 3 s after it was accepted elsewhere: the leader
+     * had not read the jobs for 2.4 s when it was frozen, and its last report is a second old.
+     */
+    @Test
+    void anEntryAddsTheAgeOfTheReportToTheAgeOfTheJobs() {
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Heartbeat(1, true, 0, 2_000, 10));
+        assertInstanceOf(JobOutcome.NoSuchJob.class, phase());
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Heartbeat(1, true, 0, 2_400, 10));
+
+        mLoop.advance(1_000);
+
+        assertInstanceOf(JobOutcome.Unavailable.class, phase());
+    }
+
     /** Guards against callers that keep connecting to an instance that the store turns away. */
     @Test
     void anEntryWithoutTheStoreIsNotReadyUntilItAnswersAgain() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -49,10 +49,17 @@
 
     /**
      * Age of the leader's view of the jobs topic beyond which a job missing from the table may
-     * exist.
+     * exist. An idle leader's view is up to 2 s old, since each read waits for a second.
      */
     private static final long MAX_JOBS_AGE_MILLIS = 2_500;
 
+    /**
+     * Age of this entry's view of the jobs beyond which a job missing from the table may exist: the
+     * platform requires that a job is known 3 s after it was accepted, and a report may take 0.1 s
+     * to arrive.
+     */
+    private static final long MAX_VIEW_AGE_MILLIS = 2_900;
+
     /**
      * Time without an answer of the store after which this entry is not ready, so that callers
      * connect to instances that reach it. Covers a long poll of 1 s and answers that take 60 times
@@ -410,9 +417,11 @@
         if (dispatcher != null) {
             return dispatcher.isReady() && dispatcher.jobsAgeMillis() < MAX_JOBS_AGE_MILLIS;
         }
+        long feedAgeMillis = heartbeatAgeMillis();
         return mStatusComplete
-                && heartbeatAgeMillis() < MAX_FEED_AGE_MILLIS
-                && mJobsAgeMillis < MAX_JOBS_AGE_MILLIS;
+                && feedAgeMillis < MAX_FEED_AGE_MILLIS
+                && mJobsAgeMillis < MAX_JOBS_AGE_MILLIS
+                && mJobsAgeMillis + feedAgeMillis < MAX_VIEW_AGE_MILLIS;
     }
 
     private long heartbeatAgeMillis() {
@@ -449,6 +458,8 @@
         mLoop.schedule(Election.HEARTBEAT_MILLIS, this::sendHeartbeats);
         Dispatcher dispatcher = mDispatcher;
         if (dispatcher != null) {
+            // The heartbeat tells the age of the jobs that were sent before it.
+            flushRows();
             mFeedServer.broadcast(createHeartbeat(dispatcher));
         }
     }
