--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -85,6 +86,15 @@
      */
     private static final long READ_WAIT_MILLIS = 1_000;
 
+    /**
+     * Largest number of jobs that are removed at the same time. A new leader removes all ended jobs
+     * that it has loaded after the same time, and a call of the store takes 2 MiB.
+     */
+    private static final int MAX_JOB_REMOVALS = 1_000;
+
+    /** Largest number of progress records that one commit removes, so that it stays small. */
+    private static final int MAX_PROGRESS_REMOVALS = 500;
+
     private final Loop mLoop;
     private final Store mStore;
     private final WorkerControl mControl;
@@ -112,6 +122,9 @@
     private boolean mAwaitingConfirmation;
     private boolean mLeaseBoundChanged;
 
+    /** Jobs whose submissions are removed, and whose progress has to be removed. */
+    private final Set<JobId> mObsoleteProgress = new LinkedHashSet<>();
+
     /** Workers whose stored lease bounds belong to no session. */
     private final Set<WorkerId> mObsoleteLeaseBounds = new LinkedHashSet<>();
 
@@ -397,6 +410,12 @@
         Job job = JobId.parse(key).map(mJobs::get).getOrElse(() -> null);
         if (job == null) {
             LogEvent.RECORD_SKIPPED.log("progress of job " + key + ", which has no submission");
+            // Earlier leaders are fenced, and a submission is stored before its progress, so a
+            // submission that was not loaded has been removed.
+            JobId.parse(key)
+                    .toOption()
+                    .filter(id -> !mJobs.isUnreadable(id))
+                    .forEach(mObsoleteProgress::add);
             return 0;
         }
         boolean cancelled = job.phase == JobPhase.CANCELLED;
@@ -430,6 +449,7 @@
         Run run = new Run(live.task(), live.attempt(), worker, "");
         run.state = Run.State.INHERITED;
         run.resumed = true;
+        run.paceUncertain = true;
         attach(run);
     }
 
@@ -496,18 +516,20 @@
     private void removeEndedJobs() {
         long keepMillis = 2 * mLimits.statusMillis();
         List<KeyedRecord> removed = new ArrayList<>();
+        List<JobId> removedJobs = new ArrayList<>();
         for (Job job : new ArrayList<>(mJobs.all())) {
-            if (job.committedPhase.terminal()
+            if (removedJobs.size() < MAX_JOB_REMOVALS
+                    && job.committedPhase.terminal()
                     && job.liveRunCount == 0
                     && mLoop.nowMillis() - job.endedMillis > keepMillis) {
                 JobId id = job.submission.job();
                 mJobs.remove(job);
                 mStatusListener.jobRemoved(id);
+                removedJobs.add(id);
                 removed.add(new KeyedRecord(JobKeys.submission(id), null));
                 removed.add(new KeyedRecord(JobKeys.cancellation(id), null));
             }
         }
-        int jobCount = removed.size() / 2;
         for (JobId id : mJobs.removeOrphanedCancellations(mLoop.nowMillis() - keepMillis)) {
             removed.add(new KeyedRecord(JobKeys.cancellation(id), null));
         }
@@ -517,7 +539,14 @@
                             removed,
                             new Store.Condition.Always(),
                             FRESH_CONFIRMATION_MILLIS)
-                    .thenAccept(outcome -> LogEvent.JOBS_FORGOTTEN.log(jobCount, outcome));
+                    .thenAccept(
+                            outcome -> {
+                                LogEvent.JOBS_FORGOTTEN.log(removedJobs.size(), outcome);
+                                // Not before: a submission without progress would run again.
+                                if (outcome instanceof Store.AppendOutcome.Appended) {
+                                    mObsoleteProgress.addAll(removedJobs);
+                                }
+                            });
         }
     }
 
@@ -560,6 +589,7 @@
         Map<WorkerSession, Long> ends = new HashMap<>();
         mWorkers.all().forEach(worker -> ends.put(worker, worker.seenEndNumber()));
         List<KeyedRecord> records = new ArrayList<>();
+        addProgressRemovals(records);
         Map<Job, JobPhase> phases = new LinkedHashMap<>();
         for (Job job : changed) {
             records.add(new KeyedRecord(job.submission.job().value(), ProgressCodec.encode(job)));
@@ -584,6 +614,18 @@
                 });
     }
 
+    private void addProgressRemovals(List<KeyedRecord> records) {
+        Iterator<JobId> obsolete = mObsoleteProgress.iterator();
+        for (int count = 0; count < MAX_PROGRESS_REMOVALS && obsolete.hasNext(); count++) {
+            JobId id = obsolete.next();
+            obsolete.remove();
+            // A job that was submitted again under the id must not inherit the old progress.
+            Job successor = mJobs.get(id);
+            byte[] progress = successor == null ? null : ProgressCodec.encode(successor);
+            records.add(new KeyedRecord(id.value(), progress));
+        }
+    }
+
     /**
      * Adds the lease bounds of silent workers and removes those of workers that answer again.
      *
@@ -798,7 +840,7 @@
             case DONE -> taskDone(worker, task);
             case FAILED -> {
                 if (current) {
-                    taskFailed(worker, task);
+                    taskFailed(worker, task, end.attempt());
                 }
             }
             case STOPPED, LAPSED, GANG_BROKEN, GANG_INCOMPLETE -> {}
@@ -828,14 +870,19 @@
         }
     }
 
-    private void taskFailed(WorkerSession worker, Task task) {
+    private void taskFailed(WorkerSession worker, Task task, int attempt) {
         worker.failureStreak++;
-        task.failureCount++;
         task.failedOn = worker.id();
         Job job = task.step.job;
         mJobs.markChanged(job);
+        Task counter = task.step.failureCounter(task);
+        if (task.step.spec.gang() && attempt <= counter.lastFailedAttempt) {
+            return; // Another member has failed in the same run of the gang.
+        }
+        counter.lastFailedAttempt = attempt;
+        counter.failureCount++;
         int limit = job.queue == null ? Integer.MAX_VALUE : job.queue.attemptLimit();
-        if (!job.terminal() && !task.step.spec.longRunning() && task.failureCount >= limit) {
+        if (!job.terminal() && !task.step.spec.longRunning() && counter.failureCount >= limit) {
             job.phase = JobPhase.FAILED;
             stopRuns(job);
         }
