Spread the pace orders of a new leader over its first seconds

A new leader sets the pace of every filler that it takes over, since it does not know the one that the worker has.

A pace that is only uncertain is now set 3 s after the run was first seen at the earliest, and one at a time for each worker. A pace that has to change is set at once as before.

The 154 tests of org.hornbeamward.dispatch.test pass, FillerPaceTest among them.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -115,6 +115,12 @@
 
     private static final long NEVER_SLOW = Long.MIN_VALUE / 2;
 
+    /**
+     * How long after a run was first seen its uncertain pace is set again; the processor of a new
+     * leader has work of its own for the first seconds.
+     */
+    private static final long PACE_CONFIRMATION_DELAY_MILLIS = 3_000;
+
     /** Lowest pace at which a filler's CPU is counted, since a paused filler will resume later. */
     private static final int MIN_ASSUMED_PACE_PERCENT = 40;
 
@@ -570,8 +576,10 @@
 
     /** Sets the pace of a run. */
     void pace(Run run, int percent) {
-        boolean alreadySet = run.pacePercent == percent && !run.paceUncertain;
-        if (run.paceInFlight || alreadySet || run.state != Run.State.PRESENT) {
+        boolean mayBeSet = run.pacePercent == percent;
+        if (run.paceInFlight
+                || run.state != Run.State.PRESENT
+                || (mayBeSet && !isPaceConfirmationDue(run))) {
             return;
         }
         run.paceInFlight = true;
@@ -599,6 +607,16 @@
                         });
     }
 
+    /**
+     * Returns whether a pace should be set again, since the worker may have another one. A new
+     * leader does so for every filler, so these orders are spread over its first seconds.
+     */
+    private boolean isPaceConfirmationDue(Run run) {
+        return run.paceUncertain
+                && mLoop.nowMillis() - run.confirmedMillis >= PACE_CONFIRMATION_DELAY_MILLIS
+                && mRuns.values().stream().noneMatch(other -> other.paceInFlight);
+    }
+
     /** Sends stop orders again that got no answer, and polls if necessary. */
     void repeatOrders() {
         for (Run run : new ArrayList<>(mRuns.values())) {
