Skip entries that move a worker that answers to another pool

What could happen: an entry of another writer with a service that no queue uses, under the id of a worker and with its start time, took the worker out of its pool until the worker's own next entry.

Cause: WorkerRegistry took over the service of every entry of the present incarnation.

Evidence: OddWorkerEntryTest.anEntryWithAnotherPoolForAWorkerThatAnswersChangesNothing failed before.

Change: the check of the address covers the pool.

Conclusion: OddWorkerEntryTest passes.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/OddWorkerEntryTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/OddWorkerEntryTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.hornbeamward.dispatch.fake.FakeWorker;
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.dispatch.port.WorkerEntry;
@@ -18,10 +19,15 @@
     private final FakeWorker mSecond = mFixture.mWorkers.get("w2");
 
     private static WorkerEntry oddEntry(WorkerEntry entry, long startWallMillis, String address) {
+        return oddEntry(entry, startWallMillis, entry.pool(), address);
+    }
+
+    private static WorkerEntry oddEntry(
+            WorkerEntry entry, long startWallMillis, String pool, String address) {
         return new WorkerEntry(
                 entry.id(),
                 startWallMillis,
-                entry.pool(),
+                pool,
                 address,
                 entry.domain(),
                 entry.rack(),
@@ -104,4 +110,22 @@
         assertEquals("w1", mFixture.mWorkers.lastAddresses.get("w1"));
         assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
     }
+
+    /** Guards against a worker that leaves its pool because of an entry with another service. */
+    @Test
+    void anEntryWithAnotherPoolForAWorkerThatAnswersChangesNothing() {
+        mFixture.startDispatcher(1);
+        mFixture.submit("first", LeaderFixture.step(2, 3_000));
+        mFixture.mLoop.advance(2_000);
+        for (FakeWorker worker : List.of(mFirst, mSecond)) {
+            WorkerEntry entry = worker.entry();
+            long startMillis = entry.incarnationStartWallMillis();
+            mFixture.registerOddEntry(oddEntry(entry, startMillis, "unnamed", entry.address()));
+        }
+        mFixture.mLoop.advance(1_000);
+        JobId job = mFixture.submit("second", LeaderFixture.step(2, 3_000));
+        mFixture.mLoop.advance(1_000);
+
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerRegistry.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerRegistry.java
@@ -167,8 +167,8 @@
     }
 
     /**
-     * Rejects an entry that contradicts what is known: an incarnation has one address, and the one
-     * at which it answers is its own.
+     * Rejects an entry that contradicts what is known: an incarnation has one pool and one address,
+     * and the one at which it answers is its own.
      */
     private Either<String, WorkerEntry> plausible(WorkerEntry entry) {
         long startMillis = entry.incarnationStartWallMillis();
@@ -179,11 +179,16 @@
         if (worker != null
                 && worker.incarnationStartWallMillis() == startMillis
                 && worker.answers()
-                && !worker.entry().address().equals(entry.address())) {
+                && !(worker.entry().address().equals(entry.address())
+                        && worker.entry().pool().equals(entry.pool()))) {
             return Either.left(
-                    "address "
+                    "pool "
+                            + entry.pool()
+                            + " at "
                             + entry.address()
-                            + ", but it answers at "
+                            + ", but it answers as one of pool "
+                            + worker.entry().pool()
+                            + " at "
                             + worker.entry().address());
         }
         return Either.right(entry);
