Follow a topic past an empty key and an answer that cannot be decoded

What could happen: a page of the newest records whose last key is empty made a follower load the first page again, for ever; a page that brings no further key did the same. An error while an answer is decoded ended the reading, since the chain of calls ended with it.

Cause: TopicFollower continued after the last key of a page whatever it was, and only handled answers, not failures.

Evidence: the 3 tests of TopicFollowerTest failed before.

Conclusion: TopicFollowerTest passes, HostileInputTest and ElectionTest too.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/TopicFollower.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/TopicFollower.java
@@ -151,6 +151,7 @@
     private void loadPage(String afterKey) {
         ClockReading sent = ClockReading.now(mLoop);
         mStore.newest(mTopic, afterKey, PAGE_TIMEOUT_MILLIS)
+                .exceptionally(error -> new NewestOutcome.Unavailable(error.toString()))
                 .thenAccept(
                         outcome -> {
                             if (mRunning) {
@@ -179,10 +180,11 @@
                     if (value != null) {
                         loadedPages.put(record.key(), value);
                     }
-                    last = record.key();
+                    // The page after an empty key would be the first one again.
+                    last = record.key().isEmpty() ? last : record.key();
                 }
                 noteAnswer();
-                if (page.more() && !page.records().isEmpty()) {
+                if (page.more() && !last.equals(afterKey)) {
                     loadPage(last);
                 } else {
                     mLoadedPages = null;
@@ -200,7 +202,9 @@
             return;
         }
         ClockReading sent = ClockReading.now(mLoop);
+        // An answer that cannot be decoded is asked for again; reading must not end with it.
         mStore.read(mTopic, mNextOffset, mWaitMillis, mWaitMillis + ANSWER_TIMEOUT_MILLIS)
+                .exceptionally(error -> new ReadOutcome.Unavailable(error.toString()))
                 .thenAccept(
                         outcome -> {
                             if (mRunning) {
