Wait for the end of a run that is being stopped

Callers may see two runs of one task at once (rule TWICE) where a worker lists a run neither as running nor as ended while a stop takes effect. PROTOCOL.md leaves open in which list such a run stands; it says that a stop takes up to stop_timeout_ms and that the capacity is free when the end is listed.

The leader took a run that a poll did not list for gone, also one that it was stopping. It now waits until the stop time-out has passed since the worker confirmed the stop order. The same holds for a start order without an answer, which is always followed by a stop: its task is started anew up to 0.2 s later than before.

Left: a new leader's first poll takes a run of its predecessor for gone if the predecessor's stop of it is just taking effect in neither list.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
@@ -23,7 +23,7 @@
     private FormerLeader mFormer = new FormerLeader.Unknown();
 
     private Election entry(String name, int seed) {
-        return entry(name, seed, new DispatchLimits(6_000, 120_000, 1.0, 1_000));
+        return entry(name, seed, new DispatchLimits(6_000, 200, 120_000, 1.0, 1_000));
     }
 
     private Election entry(String name, int seed, DispatchLimits limits) {
@@ -208,9 +208,9 @@
     void aStrongInstanceIsElectedBeforeAWeakOne() {
         Election first = entry("leader", 1);
         mLoop.advance(1_000);
-        entry("weak", 2, new DispatchLimits(6_000, 120_000, 0.36, 10));
+        entry("weak", 2, new DispatchLimits(6_000, 200, 120_000, 0.36, 10));
         mLoop.advance(30);
-        entry("strong", 3, new DispatchLimits(6_000, 120_000, 1.5, 200));
+        entry("strong", 3, new DispatchLimits(6_000, 200, 120_000, 1.5, 200));
         mLoop.advance(300);
         first.stop();
         first.resign(1);
@@ -225,7 +225,7 @@
      */
     @Test
     void aRestartedWeakLeaderYieldsToAStrongInstance() {
-        DispatchLimits weak = new DispatchLimits(6_000, 120_000, 0.36, 10);
+        DispatchLimits weak = new DispatchLimits(6_000, 200, 120_000, 0.36, 10);
         entry("weak", 1, weak).stop();
         Election first = entry("weak", 1, weak);
         mLoop.advance(1_500);
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
@@ -96,7 +96,7 @@
                         mStore,
                         new FakeWorkers(mLoop),
                         new FakeDocuments(),
-                        new DispatchLimits(6_000, 120_000, 1.0, 1_000),
+                        new DispatchLimits(6_000, 200, 120_000, 1.0, 1_000),
                         mFeed,
                         new FeedServer(mGroup, "127.0.0.1", 0),
                         new Random(1),
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +34,7 @@
     private final WorkerId mId;
     private final Resources mCapacity;
     private final Map<TaskName, Integer> mRunning = new LinkedHashMap<>();
+    private final Set<TaskName> mStopping = new HashSet<>();
     private final Map<TaskName, Long> mStartedMillis = new HashMap<>();
     private final Map<TaskName, Integer> mHighestEndedAttempts = new HashMap<>();
     private final List<EndReport> mUnacknowledgedEnds = new ArrayList<>();
@@ -61,6 +63,11 @@
     /** Delay after which start orders take effect; a delayed order gets no answer; 0 for none. */
     public long startDelayMillis;
 
+    /**
+     * How long a stop takes; a run that is being stopped is listed neither as running nor as ended.
+     */
+    public long stopMillis;
+
     /** Duration of each run. */
     public long taskMillis = 500;
 
@@ -99,6 +106,7 @@
      */
     public void restart() {
         mRunning.clear();
+        mStopping.clear();
         mHighestEndedAttempts.clear();
         mUnacknowledgedEnds.clear();
         mHighestToken = 0;
@@ -171,6 +179,7 @@
 
     private void end(TaskName task, EndKind kind) {
         Integer attempt = mRunning.remove(task);
+        mStopping.remove(task);
         if (attempt != null) {
             mHighestEndedAttempts.merge(task, attempt, Math::max);
             mUnacknowledgedEnds.add(
@@ -220,8 +229,10 @@
         }
         mHighestToken = token;
         Integer running = mRunning.get(task);
-        if (running != null && running == attempt) {
+        if (running != null && running == attempt && stopMillis == 0) {
             end(task, EndKind.STOPPED);
+        } else if (running != null && running == attempt && mStopping.add(task)) {
+            mLoop.schedule(stopMillis, () -> end(task, EndKind.STOPPED));
         }
         mHighestEndedAttempts.merge(task, attempt, Math::max);
         return new OrderOutcome.Done(clockMillis());
@@ -240,8 +251,11 @@
         mUnacknowledgedEnds.removeIf(end -> end.number() <= mAcknowledgedEnd);
         List<RunReport> running = new ArrayList<>();
         mRunning.forEach(
-                (task, attempt) ->
-                        running.add(new RunReport(task, attempt, checkpoint, percent(task), 0)));
+                (task, attempt) -> {
+                    if (!mStopping.contains(task)) {
+                        running.add(new RunReport(task, attempt, checkpoint, percent(task), 0));
+                    }
+                });
         return new PollOutcome.Seen(
                 mIncarnationStartWallMillis,
                 clockMillis(),
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
@@ -605,8 +605,8 @@
      */
     @Test
     void leasesOutlastARestartOfAllInstances() {
-        DispatchLimits limits = new DispatchLimits(10_000, 120_000, 0.3, 1_000);
+        DispatchLimits limits = new DispatchLimits(10_000, 200, 120_000, 0.3, 1_000);
         assertTrue(limits.leaseMillis() >= 1_000 + 4_300 + 1_000);
-        assertEquals(6_000, new DispatchLimits(6_000, 120_000, 0.75, 1_000).leaseMillis());
+        assertEquals(6_000, new DispatchLimits(6_000, 200, 120_000, 0.75, 1_000).leaseMillis());
     }
 }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
@@ -76,7 +76,8 @@
                             @Override
                             public void allPhasesReported() {}
                         },
-                        new DispatchLimits(FakeWorker.LONGEST_LEASE_MILLIS, 120_000, 1.0, 1_000),
+                        new DispatchLimits(
+                                FakeWorker.LONGEST_LEASE_MILLIS, 200, 120_000, 1.0, 1_000),
                         new NodeMetrics(),
                         epoch,
                         former,
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/SlowWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/SlowWorkerTest.java
@@ -3,12 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
+import java.util.stream.Stream;
 import org.hornbeamward.dispatch.fake.FakeWorker;
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Topic;
 import org.hornbeamward.lib.JobId;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Replays workers that turn slow or silent while their tasks run. */
 class SlowWorkerTest {
@@ -207,4 +211,31 @@
         mFixture.mLoop.advance(1_000);
         assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
     }
+
+    /**
+     * Guards against a second run of a task while the first one is being stopped, whenever the stop
+     * falls between two polls.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {0, 150, 300, 450, 600, 750, 900})
+    void aRunThatIsListedNowhereWhileItStopsIsNotStartedElsewhereBeforeItHasEnded(long millis) {
+        mFixture.startDispatcher(1);
+        mFixture.submit("job", LeaderFixture.longRunning(1, 1_000));
+        List<FakeWorker> workers = Stream.of("w1", "w2", "w3").map(mFixture.mWorkers::get).toList();
+        for (FakeWorker worker : workers) {
+            worker.taskMillis = 60_000;
+            worker.stopMillis = 180;
+        }
+        mFixture.mLoop.advance(1_500 + millis);
+        FakeWorker busy =
+                workers.stream().filter(w -> !w.running().isEmpty()).findFirst().orElseThrow();
+        busy.draining = true;
+        mFixture.registerWorker(busy.entry().id().value());
+        for (int step = 0; step < 300; step++) {
+            mFixture.mLoop.advance(10);
+            int runCount = workers.stream().mapToInt(worker -> worker.running().size()).sum();
+            assertTrue(runCount <= 1, runCount + " runs");
+        }
+        assertEquals(2, workers.stream().mapToInt(worker -> worker.started.size()).sum());
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/DispatchLimits.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/DispatchLimits.java
@@ -4,12 +4,14 @@
  * Limits from the platform's settings.
  *
  * @param longestLeaseMillis longest lease that workers accept
+ * @param stopTimeoutMillis longest time that a worker takes to stop a run
  * @param statusMillis how long the state of an ended job must stay available
  * @param processorShare CPU capacity of this instance, where 1 is one standard core
  * @param linkMbitPerSecond bandwidth of this instance's network link
  */
 public record DispatchLimits(
         long longestLeaseMillis,
+        long stopTimeoutMillis,
         long statusMillis,
         double processorShare,
         double linkMbitPerSecond) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -715,6 +715,11 @@
         return mLimits.longestLeaseMillis();
     }
 
+    @Override
+    public long stopTimeoutMillis() {
+        return mLimits.stopTimeoutMillis();
+    }
+
     @Override
     public boolean mayOrder() {
         return mOpen && mReady && mWriter.unconfirmedMillis() < MAX_UNCONFIRMED_MILLIS;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -134,6 +134,9 @@
         /** Returns the length in milliseconds of the longest lease that workers accept. */
         long longestLeaseMillis();
 
+        /** Returns the longest time in milliseconds that a worker takes to stop a run. */
+        long stopTimeoutMillis();
+
         /** Returns whether orders may be sent. */
         boolean mayOrder();
 
@@ -779,14 +782,29 @@
     private boolean isGone(Run run, long sentMillis) {
         return switch (run.state) {
             case DECIDED, ORDERED -> false;
-            case PRESENT -> run.confirmedMillis < sentMillis;
+            case PRESENT ->
+                    run.confirmedMillis < sentMillis
+                            && (!run.stopping || hasStopped(run, sentMillis));
             case UNKNOWN ->
-                    run.stopConfirmedMillis < sentMillis || run.orderExpiresAtMillis < sentMillis;
+                    hasStopped(run, sentMillis)
+                            || run.orderExpiresAtMillis < sentMillis - stopTimeoutMillis();
             // The poll's fencing token makes the worker refuse orders of the previous leader.
             case INHERITED -> true;
         };
     }
 
+    /**
+     * Returns whether a stop order had certainly ended a run before a given time. While it takes
+     * effect, the worker may list the run neither as running nor as ended.
+     */
+    private boolean hasStopped(Run run, long atMillis) {
+        return run.stopConfirmedMillis < atMillis - stopTimeoutMillis();
+    }
+
+    private long stopTimeoutMillis() {
+        return toOwnClock(mSupervisor.stopTimeoutMillis());
+    }
+
     /** Returns whether all leases that any leader has granted must have lapsed on the worker. */
     boolean leasesLapsed() {
         return mLoop.nowMillis() > leaseEndMillis();
--- a/review/harness/Entry.java
+++ b/review/harness/Entry.java
@@ -63,6 +63,7 @@
                         "bounds.config_apply_ms=2000",
                         "bounds.hold_max_ms=6000",
                         "bounds.stop_timeout_ms=200",
+                        "bounds.stop_timeout_ms=200",
                         "bounds.gang_timeout_ms=3000",
                         "bounds.cancel_ms=3000",
                         "bounds.visible_ms=3000",
