--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -33,6 +34,7 @@
     private final WorkerId mId;
     private final Resources mCapacity;
     private final Map<TaskName, Integer> mRunning = new LinkedHashMap<>();
+    private final Set<TaskName> mStopping = new HashSet<>();
     private final Map<TaskName, Long> mStartedMillis = new HashMap<>();
     private final Map<TaskName, Integer> mHighestEndedAttempts = new HashMap<>();
     private final List<EndReport> mUnacknowledgedEnds = new ArrayList<>();
@@ -64,6 +66,11 @@
     /** Delay after which polls take effect; a delayed poll gets no answer; 0 for none. */
     public long pollDelayMillis;
 
+    /**
+     * How long a stop takes; a run that is being stopped is listed neither as running nor as ended.
+     */
+    public long stopMillis;
+
     /** Duration of each run. */
     public long taskMillis = 500;
 
@@ -120,6 +127,7 @@
      */
     public void restart() {
         mRunning.clear();
+        mStopping.clear();
         mHighestEndedAttempts.clear();
         mUnacknowledgedEnds.clear();
         mHighestToken = 0;
@@ -192,6 +200,7 @@
 
     private void end(TaskName task, EndKind kind) {
         Integer attempt = mRunning.remove(task);
+        mStopping.remove(task);
         if (attempt != null) {
             mHighestEndedAttempts.merge(task, attempt, Math::max);
             mUnacknowledgedEnds.add(
@@ -244,8 +253,10 @@
         }
         mHighestToken = token;
         Integer running = mRunning.get(task);
-        if (running != null && running == attempt) {
+        if (running != null && running == attempt && stopMillis == 0) {
             end(task, EndKind.STOPPED);
+        } else if (running != null && running == attempt && mStopping.add(task)) {
+            mLoop.schedule(stopMillis, () -> end(task, EndKind.STOPPED));
         }
         mHighestEndedAttempts.merge(task, attempt, Math::max);
         return new OrderOutcome.Done(clockMillis());
@@ -264,8 +275,11 @@
         mUnacknowledgedEnds.removeIf(end -> end.number() <= mAcknowledgedEnd);
         List<RunReport> running = new ArrayList<>();
         mRunning.forEach(
-                (task, attempt) ->
-                        running.add(new RunReport(task, attempt, checkpoint, percent(task), load)));
+                (task, attempt) -> {
+                    if (!mStopping.contains(task)) {
+                        running.add(new RunReport(task, attempt, checkpoint, percent(task), load));
+                    }
+                });
         return new PollOutcome.Seen(
                 mIncarnationStartWallMillis,
                 clockMillis(),
