Let an entry that has restarted succeed a leader that resigns

The leases lapsed at about 20.3 s; the second run of a lost task was placed by a leader that was stopped before it could start it, and the third one started at 24.5 s. Class: a wait that begins anew at each change of leaders.

A candidate after a resignation now waits by up to 0.1 s longer the longer it has been up (by its own monotonic clock, in proportion to a minute), so that an entry that has restarted already leads through the rest of the restart. Other elections are as before.

ElectionTest.aLeaderThatResignsIsSucceededByTheEntryThatHasRestarted failed for three of its six uptimes on the code before and passes.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
@@ -14,6 +14,8 @@
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Topic;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Elections with a fake store on a virtual clock. */
 class ElectionTest {
@@ -237,4 +239,33 @@
         assertEquals(2, mElected.size());
         assertEquals("strong", mElected.get(1).split(" ", 2)[0]);
     }
+
+    /**
+     * Guards against a rolling restart in which each elected leader is restarted next, so that lost
+     * tasks never start elsewhere.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {100, 500, 900, 1_300, 1_700, 2_100})
+    void aLeaderThatResignsIsSucceededByTheEntryThatHasRestarted(long upMillis) {
+        Election first = entry("a", 1);
+        mLoop.advance(300);
+        List<Election> followers = new ArrayList<>(List.of(entry("b", 2), entry("c", 3)));
+        mLoop.advance(300);
+        sendHeartbeats(followers, 30_000);
+        followers.add(entry("d", 4));
+        mLoop.advance(upMillis);
+        sendHeartbeats(followers, 500);
+        first.stop();
+        first.resign(1);
+        mLoop.advance(1_000);
+        assertEquals(2, mElected.size());
+        assertEquals("d", mElected.get(1).split(" ", 2)[0]);
+    }
+
+    private void sendHeartbeats(List<Election> followers, long millis) {
+        for (long passedMillis = 0; passedMillis < millis; passedMillis += 250) {
+            followers.forEach(follower -> follower.heartbeatReceived(heartbeat(1, 0)));
+            mLoop.advance(250);
+        }
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
@@ -56,6 +56,16 @@
      */
     private static final long YIELD_DELAY_THRESHOLD_MILLIS = 300;
 
+    /**
+     * Delay of a candidacy after a resignation for an entry that has been up for as long as a
+     * rolling restart takes, in proportion for younger ones. During such a restart, an entry that
+     * has restarted already leads on, and any other one would soon resign too.
+     */
+    private static final long MAX_UPTIME_DELAY_MILLIS = 100;
+
+    /** Time in which some dozens of instances restart one after the other. */
+    private static final long ROLLING_RESTART_MILLIS = 60_000;
+
     private static final long TICK_MILLIS = 100;
     private static final long ANSWER_TIMEOUT_MILLIS = 900;
     private static final long LONG_POLL_WAIT_MILLIS = 2_000;
@@ -89,6 +99,7 @@
     private final TopicFollower mFollower;
     private @Nullable LeaderRecord mLeader;
     private boolean mRunning;
+    private long mStartedMillis;
     private boolean mHeartbeatReceived;
     private long mSilentSinceMillis;
     private long mLeaderUnconfirmedMillis;
@@ -128,6 +139,7 @@
 
     void start() {
         mRunning = true;
+        mStartedMillis = mLoop.nowMillis();
         mSilentSinceMillis = mLoop.nowMillis();
         mNextCandidacyMillis = mLoop.nowMillis() + jitterMillis();
         mFollower.start();
@@ -210,7 +222,8 @@
                     "leader " + leader.instance() + " has resigned",
                     mLeaderFirstSeenMillis < 0
                             ? new FormerLeader.Unknown()
-                            : new FormerLeader.Resigned(mLeaderFirstSeenMillis));
+                            : new FormerLeader.Resigned(mLeaderFirstSeenMillis),
+                    mCandidacyDelayMillis + uptimeDelayMillis());
         } else if (leader.instance().equals(mInstance)
                 && leader.incarnation() != mIncarnation
                 && mCandidacyDelayMillis < YIELD_DELAY_THRESHOLD_MILLIS) {
@@ -296,11 +309,20 @@
                 : new FormerLeader.Silent(mLeaderProgressOffset, millis);
     }
 
+    private long uptimeDelayMillis() {
+        long uptimeMillis = Math.min(mLoop.nowMillis() - mStartedMillis, ROLLING_RESTART_MILLIS);
+        return MAX_UPTIME_DELAY_MILLIS * uptimeMillis / ROLLING_RESTART_MILLIS;
+    }
+
     private void scheduleCandidacy(String reason, FormerLeader former) {
+        scheduleCandidacy(reason, former, mCandidacyDelayMillis);
+    }
+
+    private void scheduleCandidacy(String reason, FormerLeader former, long delayMillis) {
         mCandidacyPending = true;
         mCandidacyFormer = former;
         LeaderRecord replaced = mLeader;
-        mLoop.schedule(mCandidacyDelayMillis, () -> submitCandidacy(replaced, reason));
+        mLoop.schedule(delayMillis, () -> submitCandidacy(replaced, reason));
     }
 
     private void submitCandidacy(@Nullable LeaderRecord replaced, String reason) {
