Keep runs that a delayed answer of another worker does not rule out

A 421 from a worker's address made the leader give up all runs of the session, also orders in flight and runs that were confirmed after the call had been sent.

Now the answer ends the order that it belongs to and the runs that were confirmed before the call was sent. If others are left, the answer counts as a failed poll, and the next poll or the end of the leases decides on them. If none is left, the session is closed as before.

The new test failed before: 6 starts of 4 tasks.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -54,6 +54,9 @@
     /** Whether another worker answers at the address of this one. */
     public boolean addressTaken;
 
+    /** Response time of the other worker. */
+    public long addressTakenMillis = 3;
+
     /** Whether the worker's entry says that it is about to leave. */
     public boolean draining;
 
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
@@ -78,7 +78,7 @@
         } else if (worker.unreachable) {
             mLoop.schedule(timeoutMillis, () -> answer.complete(unreachableOutcome));
         } else if (worker.addressTaken) {
-            mLoop.schedule(ANSWER_MILLIS, () -> answer.complete(addressTakenOutcome));
+            mLoop.schedule(worker.addressTakenMillis, () -> answer.complete(addressTakenOutcome));
         } else {
             mLoop.schedule(ANSWER_MILLIS, () -> action.get().thenAccept(answer::complete));
         }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -245,4 +245,34 @@
         assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
         assertEquals(2, mFixture.startedCount());
     }
+
+    /**
+     * Guards against a second run of a task that a restarted worker has accepted: a delayed answer,
+     * from before it had registered, said that another worker was at its address.
+     */
+    @Test
+    void aDelayedAnswerOfAnotherWorkerDoesNotEndRunsThatWereAcceptedLater() {
+        setTaskMillis(3_000);
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(300);
+        for (String name : NAMES) {
+            worker(name).addressTaken = true;
+            worker(name).addressTakenMillis = 400;
+        }
+        JobId first = mFixture.submit("first", LeaderFixture.step(2, 3_000));
+        mFixture.mLoop.advance(60);
+        restartAll();
+        for (String name : NAMES) {
+            worker(name).addressTaken = false;
+        }
+        JobId second = mFixture.submit("second", LeaderFixture.step(2, 1_000));
+        mFixture.mLoop.advance(200);
+        assertEquals(2, mFixture.startedCount());
+        advanceAndExpectRunsAtMost(4, 300);
+        publishEntries();
+        advanceAndExpectRunsAtMost(4, 9_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(first));
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(second));
+        assertEquals(4, mFixture.startedCount());
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -397,7 +397,8 @@
     void start(Run run) {
         long deadlineClockMillis = clockNowMillis() + ORDER_VALID_MILLIS;
         mLeaseDeadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, deadlineClockMillis);
-        mLeaseSentMillis = mLoop.nowMillis();
+        long sentMillis = mLoop.nowMillis();
+        mLeaseSentMillis = sentMillis;
         run.state = Run.State.ORDERED;
         run.orderExpiresAtMillis = passedAtMillis(deadlineClockMillis);
         WorkerControl.StartOrder order =
@@ -412,7 +413,7 @@
         guarded(
                         () -> mControl.start(mEntry, order, ANSWER_TIMEOUT_MILLIS),
                         OrderOutcome.Unknown::new)
-                .thenAccept(outcome -> startAnswered(run, outcome));
+                .thenAccept(outcome -> startAnswered(run, outcome, sentMillis));
     }
 
     /**
@@ -434,7 +435,7 @@
                 });
     }
 
-    private void startAnswered(Run run, OrderOutcome outcome) {
+    private void startAnswered(Run run, OrderOutcome outcome, long sentMillis) {
         mSupervisor.startAnswered(this, outcome.getClass().getSimpleName());
         if (mClosed || mRuns.get(run.task.name) != run) {
             return;
@@ -455,7 +456,10 @@
                 pausePlacements(FAILED_START_PAUSE_MILLIS);
                 mSupervisor.runGone(run, "not started: " + notDone.reason());
             }
-            case OrderOutcome.OtherLife other -> mSupervisor.addressTaken(this);
+            case OrderOutcome.OtherLife other -> {
+                mSupervisor.runGone(run, "another worker answered the start order");
+                otherWorkerAnswered(sentMillis);
+            }
             case OrderOutcome.Unknown unknown -> {
                 LogEvent.ORDER_UNANSWERED.log("start", run, unknown.reason());
                 if (run.state == Run.State.ORDERED) {
@@ -508,6 +512,7 @@
             return;
         }
         run.stopInFlight = true;
+        long sentMillis = mLoop.nowMillis();
         guarded(
                         () ->
                                 mControl.stop(
@@ -517,10 +522,10 @@
                                         mSupervisor.fencingToken(),
                                         ANSWER_TIMEOUT_MILLIS),
                         OrderOutcome.Unknown::new)
-                .thenAccept(outcome -> stopAnswered(run, outcome));
+                .thenAccept(outcome -> stopAnswered(run, outcome, sentMillis));
     }
 
-    private void stopAnswered(Run run, OrderOutcome outcome) {
+    private void stopAnswered(Run run, OrderOutcome outcome, long sentMillis) {
         run.stopInFlight = false;
         if (mClosed || mRuns.get(run.task.name) != run) {
             return;
@@ -538,7 +543,7 @@
                     run.stopConfirmedMillis = mLoop.nowMillis();
                 }
             }
-            case OrderOutcome.OtherLife other -> mSupervisor.addressTaken(this);
+            case OrderOutcome.OtherLife other -> otherWorkerAnswered(sentMillis);
             case OrderOutcome.NotDone notDone ->
                     LogEvent.ORDER_UNANSWERED.log("stop", run, notDone.reason());
             case OrderOutcome.Unknown unknown ->
@@ -731,12 +736,33 @@
                 }
             }
             case PollOutcome.Fenced fenced -> mSupervisor.fenced(this);
-            case PollOutcome.OtherLife other -> mSupervisor.addressTaken(this);
+            case PollOutcome.OtherLife other -> otherWorkerAnswered(sentMillis);
             case PollOutcome.NotSent notSent -> pollFailed(notSent.reason());
             case PollOutcome.Failed failed -> pollFailed(failed.reason());
         }
     }
 
+    /**
+     * Gives up the runs that another worker's answer at the address rules out. The answer says
+     * nothing about orders in flight, nor about runs that were confirmed after the call was sent:
+     * answers overtake each other, and the worker may have restarted meanwhile.
+     */
+    private void otherWorkerAnswered(long sentMillis) {
+        List<Run> gone = new ArrayList<>();
+        for (Run run : mRuns.values()) {
+            if (run.state != Run.State.ORDERED
+                    && (run.state != Run.State.PRESENT || run.confirmedMillis < sentMillis)) {
+                gone.add(run);
+            }
+        }
+        if (gone.size() == mRuns.size()) {
+            mSupervisor.addressTaken(this);
+            return;
+        }
+        gone.forEach(run -> mSupervisor.runGone(run, "another worker answers at its address"));
+        pollFailed("another worker answers at its address");
+    }
+
     private void pollFailed(String reason) {
         if (mFailedPollCount++ == 0) {
             LogEvent.WORKER_SILENT.log(mId, reason);
