Make the random faults of a seed repeatable

Delays were drawn from one source in the order of the calls, and the leader visits workers in an order that differs between processes, so a seed did not always give the same run (10814 gave two). Each worker now has a source of its own.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkers.java
@@ -1,7 +1,6 @@
 package org.hornbeamward.dispatch.fake;
 
 import java.util.Map;
-import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.hornbeamward.dispatch.job.TaskName;
@@ -40,7 +39,6 @@
     private final Loop mBase;
     private final Loop mLoop;
     private final Map<String, SimulatedWorker> mWorkers;
-    private final Random mRandom;
 
     /** Whether a delayed order may be carried out by a later incarnation of its worker. */
     public boolean laterIncarnationsTakeOrders;
@@ -51,14 +49,11 @@
      * @param base provides the clocks and timers
      * @param loop loop of the process, on which answers arrive
      * @param workers the workers by their ids
-     * @param random source of delays
      */
-    public FaultyWorkers(
-            Loop base, Loop loop, Map<String, SimulatedWorker> workers, Random random) {
+    public FaultyWorkers(Loop base, Loop loop, Map<String, SimulatedWorker> workers) {
         mBase = base;
         mLoop = loop;
         mWorkers = workers;
-        mRandom = random;
     }
 
     private <T> CompletableFuture<T> call(
@@ -72,7 +67,8 @@
         }
         if (worker.has(SimulatedWorker.Fault.REFUSED)) {
             mLoop.schedule(
-                    mRandom.nextInt(MAX_CONNECT_MILLIS), () -> answer.complete(failures.notSent()));
+                    worker.random().nextInt(MAX_CONNECT_MILLIS),
+                    () -> answer.complete(failures.notSent()));
         } else if (worker.has(SimulatedWorker.Fault.CUT)) {
             return answer;
         } else if (worker.has(SimulatedWorker.Fault.OTHER_WORKER)) {
@@ -82,8 +78,9 @@
         } else if (worker.has(SimulatedWorker.Fault.UNHEALTHY)) {
             deliver(worker, () -> answer.complete(failures.unhealthy()));
         } else {
-            boolean late = worker.has(SimulatedWorker.Fault.LATE_CALLS) && mRandom.nextBoolean();
-            long delayMillis = late ? 2_000 + mRandom.nextInt(10_000) : pathMillis(worker);
+            boolean late =
+                    worker.has(SimulatedWorker.Fault.LATE_CALLS) && worker.random().nextBoolean();
+            long delayMillis = late ? 2_000 + worker.random().nextInt(10_000) : pathMillis(worker);
             int incarnation = worker.incarnation();
             mBase.schedule(
                     delayMillis,
@@ -116,8 +113,8 @@
 
     private long pathMillis(SimulatedWorker worker) {
         return worker.has(SimulatedWorker.Fault.JITTER)
-                ? mRandom.nextInt(MAX_JITTER_MILLIS)
-                : 1 + mRandom.nextInt(2);
+                ? worker.random().nextInt(MAX_JITTER_MILLIS)
+                : 1 + worker.random().nextInt(2);
     }
 
     private void deliver(SimulatedWorker worker, Runnable answer) {
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/SimulatedWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/SimulatedWorker.java
@@ -48,7 +48,7 @@
     /** Decides how runs of a task behave. */
     public interface Workload {
         /** Returns the duration of a run in milliseconds; negative if it fails after that time. */
-        long durationMillis(TaskName task);
+        long durationMillis(TaskName task, Random random);
 
         /** Returns the resources that a run of the task needs. */
         Resources size(TaskName task);
@@ -136,6 +136,11 @@
         return mName;
     }
 
+    /** Returns the source of the worker's delays. */
+    Random random() {
+        return mRandom;
+    }
+
     /** Returns whether the process runs. */
     public boolean isUp() {
         return mUp;
@@ -276,7 +281,7 @@
         if (!mWorkload.size(order.task()).fitsIn(free)) {
             return new OrderOutcome.Rejected(Rejection.NO_ROOM, clockMillis());
         }
-        long durationMillis = mWorkload.durationMillis(order.task());
+        long durationMillis = mWorkload.durationMillis(order.task(), mRandom);
         LiveRun run =
                 new LiveRun(
                         order.task(), order.attempt(), mLoop.nowMillis(), Math.abs(durationMillis));
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
@@ -121,7 +121,7 @@
         private boolean mGone;
 
         Leader(long epoch, FormerLeader former) {
-            FaultyWorkers control = new FaultyWorkers(mLoop, mProcessLoop, mWorkers, mRandom);
+            FaultyWorkers control = new FaultyWorkers(mLoop, mProcessLoop, mWorkers);
             control.laterIncarnationsTakeOrders = mVariant.laterIncarnationsTakeOrders();
             mDispatcher = newDispatcher(control, epoch, former);
             mDispatcher.configure(
@@ -196,12 +196,13 @@
                             "w" + number,
                             LONGEST_LEASE_MILLIS,
                             number % 2 == 0 ? 98 : 100,
-                            mRandom,
+                            // Its own, so that the order of calls to several workers is irrelevant.
+                            new Random(seed * WORKER_COUNT + number),
                             mHistory,
                             new SimulatedWorker.Workload() {
                                 @Override
-                                public long durationMillis(TaskName task) {
-                                    return duration(task);
+                                public long durationMillis(TaskName task, Random random) {
+                                    return duration(task, random);
                                 }
 
                                 @Override
@@ -217,12 +218,12 @@
         mStartMillis = mLoop.nowMillis();
     }
 
-    private long duration(TaskName task) {
-        boolean fails = !mCalm && mRandom.nextInt(8) == 0;
+    private long duration(TaskName task, Random random) {
+        boolean fails = !mCalm && random.nextInt(8) == 0;
         if (mHistory.step(task).longRunning()) {
-            return fails ? -1 - mRandom.nextInt(4_000) : 1_000_000;
+            return fails ? -1 - random.nextInt(4_000) : 1_000_000;
         }
-        long millis = 100 + mRandom.nextInt(4_000);
+        long millis = 100 + random.nextInt(4_000);
         return fails ? -millis : millis;
     }
 
