--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -413,7 +413,8 @@
     void start(Run run) {
         long deadlineClockMillis = clockNowMillis() + ORDER_VALID_MILLIS;
         mLeaseDeadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, deadlineClockMillis);
-        mLeaseSentMillis = mLoop.nowMillis();
+        long sentMillis = mLoop.nowMillis();
+        mLeaseSentMillis = sentMillis;
         run.state = Run.State.ORDERED;
         run.orderExpiresAtMillis = passedAtMillis(deadlineClockMillis);
         WorkerControl.StartOrder order =
@@ -429,7 +430,7 @@
                         () -> mControl.start(mEntry, order, ANSWER_TIMEOUT_MILLIS),
                         0,
                         OrderOutcome.Unknown::new)
-                .thenAccept(outcome -> startAnswered(run, outcome));
+                .thenAccept(outcome -> startAnswered(run, outcome, sentMillis));
     }
 
     /**
@@ -466,7 +467,7 @@
                 || outcome instanceof PollOutcome.Failed);
     }
 
-    private void startAnswered(Run run, OrderOutcome outcome) {
+    private void startAnswered(Run run, OrderOutcome outcome, long sentMillis) {
         mSupervisor.startAnswered(this, outcome.getClass().getSimpleName());
         if (mClosed || mRuns.get(run.task.name) != run) {
             return;
@@ -484,7 +485,10 @@
                 pausePlacements(FAILED_START_PAUSE_MILLIS);
                 mSupervisor.runGone(run, "not started: " + notDone.reason());
             }
-            case OrderOutcome.OtherLife other -> mSupervisor.addressTaken(this);
+            case OrderOutcome.OtherLife other -> {
+                mSupervisor.runGone(run, "another worker answered the start order");
+                otherWorkerAnswered(sentMillis);
+            }
             case OrderOutcome.Unknown unknown -> {
                 LogEvent.ORDER_UNANSWERED.log("start", run, unknown.reason());
                 if (run.state == Run.State.ORDERED) {
@@ -537,6 +541,8 @@
             return;
         }
         run.stopInFlight = true;
+        long sentMillis = mLoop.nowMillis();
+        run.stopSentMillis = sentMillis;
         guarded(
                         () ->
                                 mControl.stop(
@@ -547,10 +553,10 @@
                                         ANSWER_TIMEOUT_MILLIS),
                         0,
                         OrderOutcome.Unknown::new)
-                .thenAccept(outcome -> stopAnswered(run, outcome));
+                .thenAccept(outcome -> stopAnswered(run, outcome, sentMillis));
     }
 
-    private void stopAnswered(Run run, OrderOutcome outcome) {
+    private void stopAnswered(Run run, OrderOutcome outcome, long sentMillis) {
         run.stopInFlight = false;
         if (mClosed || mRuns.get(run.task.name) != run) {
             return;
@@ -568,7 +574,7 @@
                     run.stopConfirmedMillis = mLoop.nowMillis();
                 }
             }
-            case OrderOutcome.OtherLife other -> mSupervisor.addressTaken(this);
+            case OrderOutcome.OtherLife other -> otherWorkerAnswered(sentMillis);
             case OrderOutcome.NotDone notDone ->
                     LogEvent.ORDER_UNANSWERED.log("stop", run, notDone.reason());
             case OrderOutcome.Unknown unknown ->
@@ -778,12 +784,33 @@
                 }
             }
             case PollOutcome.Fenced fenced -> mSupervisor.fenced(this);
-            case PollOutcome.OtherLife other -> mSupervisor.addressTaken(this);
+            case PollOutcome.OtherLife other -> otherWorkerAnswered(sentMillis);
             case PollOutcome.NotSent notSent -> pollFailed(notSent.reason());
             case PollOutcome.Failed failed -> pollFailed(failed.reason());
         }
     }
 
+    /**
+     * Gives up the runs that another worker's answer at the address rules out. The answer says
+     * nothing about orders in flight, nor about runs that were confirmed after the call was sent:
+     * answers overtake each other, and the worker may have restarted meanwhile.
+     */
+    private void otherWorkerAnswered(long sentMillis) {
+        List<Run> gone = new ArrayList<>();
+        for (Run run : mRuns.values()) {
+            if (run.state != Run.State.ORDERED
+                    && (run.state != Run.State.PRESENT || run.confirmedMillis < sentMillis)) {
+                gone.add(run);
+            }
+        }
+        if (gone.size() == mRuns.size()) {
+            mSupervisor.addressTaken(this);
+            return;
+        }
+        gone.forEach(run -> mSupervisor.runGone(run, "another worker answers at its address"));
+        pollFailed("another worker answers at its address");
+    }
+
     private void pollFailed(String reason) {
         if (mFailedPollCount++ == 0) {
             LogEvent.WORKER_SILENT.log(mId, reason);
@@ -834,7 +861,8 @@
                             && (!run.stopping || hasStopped(run, sentMillis));
             case UNKNOWN ->
                     hasStopped(run, sentMillis)
-                            || run.orderExpiresAtMillis < sentMillis - stopTimeoutMillis();
+                            || Math.max(run.orderExpiresAtMillis, run.stopSentMillis)
+                                    < sentMillis - stopTimeoutMillis();
             // The poll's fencing token makes the worker refuse orders of the previous leader.
             case INHERITED -> true;
         };
