--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/ProgressRemovalTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/ProgressRemovalTest.java
@@ -124,4 +124,29 @@
         // The keep-alive record and the learned interference.
         assertEquals(2, newest(Topic.PROGRESS).size());
     }
+
+    /** Guards against a job that is taken for completed because an earlier one had its id. */
+    @Test
+    void aJobThatIsSubmittedAgainBeforeTheProgressIsRemovedRuns() {
+        Dispatcher first = mFixture.startDispatcher(1);
+        JobId job = submitAndRun("job");
+        mFixture.mLoop.advance(2 * 120_000 - 3_000);
+        mFixture.mStore.refusedTopic = Topic.PROGRESS;
+        mFixture.mLoop.advance(6_000);
+        assertNull(newest(Topic.JOBS).get(JobKeys.submission(job)));
+        assertNotNull(newest(Topic.PROGRESS).get(job.value()));
+
+        mFixture.submit("job", LeaderFixture.step(1, 5_000));
+        mFixture.mLoop.advance(500);
+        mFixture.mStore.refusedTopic = null;
+        mFixture.mLoop.advance(2_000);
+        first.close();
+        mFixture.mWorkers.add("w3", 8_000);
+        mFixture.registerWorker("w3");
+        mFixture.startDispatcher(2);
+        mFixture.mLoop.advance(3_000);
+
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+        assertEquals(1, mFixture.mWorkers.get("w3").started.size());
+    }
 }
