--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
@@ -90,6 +90,39 @@
         assertEquals(1, mFixture.startedCount());
     }
 
+    /** Guards against lost long-running tasks that stay away while short jobs keep coming. */
+    @Test
+    void aTaskOfALostWorkerResumesThoughShortJobsTakeAllCapacity() {
+        resumeDuringShortJobs(1_000);
+    }
+
+    /** Guards against short tasks that take each piece of the room that a larger one waits for. */
+    @Test
+    void aTaskOfALostWorkerResumesThoughShortTasksTakeEachFreedPiece() {
+        resumeDuringShortJobs(3_000);
+    }
+
+    private void resumeDuringShortJobs(long lastingCpuMillicores) {
+        mFixture.startDispatcher(1);
+        setTaskMillis(60_000);
+        JobId lasting =
+                mFixture.submit("lasting", LeaderFixture.longRunning(1, lastingCpuMillicores));
+        mFixture.mLoop.advance(3_000);
+        FakeWorker lost = busyWorker();
+        FakeWorker other = lost == worker("w1") ? worker("w2") : worker("w1");
+        other.taskMillis = 500;
+        lost.refusesConnections = true;
+        int jobCount = 0;
+        for (int tenths = 0; tenths < 120; tenths++) {
+            mFixture.submit("quick" + jobCount++, LeaderFixture.step(1, 1_000));
+            mFixture.mLoop.advance(100);
+        }
+        assertTrue(
+                other.running().stream().anyMatch(task -> task.job().equals(lasting))
+                        || other.done.stream().anyMatch(task -> task.job().equals(lasting)),
+                "the task of the lost worker has not started again");
+    }
+
     /** Guards against a new leader that starts tasks which the previous one has started. */
     @Test
     void aNewLeaderTakesOverRunningTasks() {
@@ -605,8 +638,8 @@
      */
     @Test
     void leasesOutlastARestartOfAllInstances() {
-        DispatchLimits limits = new DispatchLimits(10_000, 120_000, 0.3, 1_000);
+        DispatchLimits limits = new DispatchLimits(10_000, 200, 120_000, 0.3, 1_000);
         assertTrue(limits.leaseMillis() >= 1_000 + 4_300 + 1_000);
-        assertEquals(6_000, new DispatchLimits(6_000, 120_000, 0.75, 1_000).leaseMillis());
+        assertEquals(6_000, new DispatchLimits(6_000, 200, 120_000, 0.75, 1_000).leaseMillis());
     }
 }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -24,6 +24,12 @@
         }
     }
 
+    private void setPollDelayMillis(long millis) {
+        for (String name : NAMES) {
+            worker(name).pollDelayMillis = millis;
+        }
+    }
+
     private void restartAll() {
         for (String name : NAMES) {
             worker(name).restart();
@@ -166,6 +172,98 @@
         assertEquals(9, mFixture.startedCount());
     }
 
+    /**
+     * Guards against a poll without an answer that a restarted worker carries out late, so that it
+     * forgets an end that the leader has not seen.
+     */
+    @Test
+    void aLatePollDoesNotAcknowledgeAnEndOfARestartedWorker() {
+        setTaskMillis(300);
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(300);
+        JobId first = mFixture.submit("first", LeaderFixture.step(8, 1_000));
+        mFixture.mLoop.advance(500);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(first));
+        // The acknowledgement is due 300 ms after the end and does not reach the worker.
+        setPollDelayMillis(60_000);
+        mFixture.mLoop.advance(900);
+        restartAll();
+        setPollDelayMillis(1_100);
+        mFixture.mLoop.advance(350);
+        publishEntries();
+        JobId second = mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(1_000);
+        setPollDelayMillis(0);
+        mFixture.mLoop.advance(8_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(second));
+        assertEquals(9, mFixture.startedCount());
+    }
+
+    /** Restarts the workers after they have reported ends that are stored only afterwards. */
+    private void restartBeforeEndsAreAcknowledged() {
+        setTaskMillis(300);
+        mFixture.startDispatcher(1);
+        JobId job = mFixture.submit("first", LeaderFixture.step(8, 1_000));
+        mFixture.mLoop.advance(200);
+        assertEquals(8, mFixture.runningCount());
+        mFixture.mStore.down = true;
+        mFixture.mLoop.advance(500);
+        assertEquals(0, mFixture.runningCount());
+        restartAll();
+        mFixture.mStore.down = false;
+        while (mFixture.mPhases.get(job) != JobPhase.COMPLETED) {
+            mFixture.mLoop.advance(5);
+        }
+    }
+
+    /**
+     * Guards against a done task that runs again: a poll acknowledged ends of the ended incarnation
+     * after the restarted worker had accepted a run.
+     */
+    @Test
+    void anEndOfANewRunIsNotAcknowledgedWithThoseOfTheEndedIncarnation() {
+        restartBeforeEndsAreAcknowledged();
+        JobId job = mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(3_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+        assertEquals(9, mFixture.startedCount());
+    }
+
+    /** Guards against the same when the acknowledgement arrives before the run is ordered. */
+    @Test
+    void aWorkerThatHasRestartedSinceItsLastAnswerGetsNoAcknowledgement() {
+        restartBeforeEndsAreAcknowledged();
+        mFixture.mLoop.advance(500);
+        assertEquals(0, worker("w1").acknowledgedEnd());
+        assertEquals(0, worker("w2").acknowledgedEnd());
+        publishEntries();
+        JobId job = mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(3_000);
+        assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
+        assertEquals(9, mFixture.startedCount());
+    }
+
+    /**
+     * Guards against a task that waits for minutes: the worker restarted, accepted it and was gone
+     * before a poll showed the restart, and lease times on the clock of the ended incarnation lie
+     * far ahead on the new clock.
+     */
+    @Test
+    void theTaskOfAWorkerThatIsLostRightAfterItsRestartStartsElsewhere() {
+        setTaskMillis(30_000);
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(60_000);
+        restartAll();
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(60);
+        FakeWorker busy = worker("w1").running().isEmpty() ? worker("w2") : worker("w1");
+        assertEquals(1, mFixture.startedCount());
+        busy.refusesConnections = true;
+        advanceAndExpectRunsAtMost(1, 6_000);
+        mFixture.mLoop.advance(3_000);
+        assertEquals(2, mFixture.startedCount());
+    }
+
     /** Guards against tasks that wait for a worker whose address another worker has taken. */
     @Test
     void tasksOfAWorkerWhoseAddressIsTakenStartElsewhere() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -101,6 +101,7 @@
     private final StatusListener mStatusListener;
     private final DispatchLimits mLimits;
     private final NodeMetrics mMetrics;
+    private final CallMonitor mCallMonitor;
     private final long mEpoch;
     private final FormerLeader mFormerLeader;
     private final FencedWriter.DeposedListener mDeposedListener;
@@ -166,6 +167,7 @@
         mStatusListener = statusListener;
         mLimits = limits;
         mMetrics = metrics;
+        mCallMonitor = new CallMonitor(loop, metrics);
         mEpoch = epoch;
         mFormerLeader = formerLeader;
         mDeposedListener = deposedListener;
@@ -681,7 +683,11 @@
         for (Run run = mOrders.take(); run != null; run = mOrders.take()) {
             String reason = reasonNotToStart(run);
             if (reason == null) {
-                LogEvent.TASK_ORDERED.log(run.task.name, run.attempt, run.worker.id());
+                LogEvent.TASK_ORDERED.log(
+                        run.task.name,
+                        run.attempt,
+                        run.worker.id(),
+                        run.worker.incarnationStartWallMillis());
                 mOrders.sent(run.worker.id());
                 run.worker.start(run);
             } else if (run.task.run == run) {
@@ -752,11 +758,26 @@
                 : 0;
     }
 
+    @Override
+    public long longestLeaseMillis() {
+        return mLimits.longestLeaseMillis();
+    }
+
+    @Override
+    public long stopTimeoutMillis() {
+        return mLimits.stopTimeoutMillis();
+    }
+
     @Override
     public boolean mayOrder() {
         return mOpen && mReady && mWriter.unconfirmedMillis() < MAX_UNCONFIRMED_MILLIS;
     }
 
+    @Override
+    public CallMonitor callMonitor() {
+        return mCallMonitor;
+    }
+
     @Override
     public void startAnswered(WorkerSession worker, String outcome) {
         mMetrics.recordStartOrder(outcome);
@@ -794,7 +815,12 @@
 
     @Override
     public void runEnded(WorkerSession worker, EndReport end) {
-        LogEvent.TASK_ENDED.log(end.task(), end.attempt(), worker.id(), end.kind());
+        LogEvent.TASK_ENDED.log(
+                end.task(),
+                end.attempt(),
+                worker.id(),
+                worker.incarnationStartWallMillis(),
+                end.kind());
         mMetrics.recordRunEnd(end.kind().name());
         requestPass();
         TaskName name = end.task();
@@ -869,7 +895,8 @@
 
     @Override
     public void unknownRun(WorkerSession worker, RunReport report) {
-        LogEvent.UNKNOWN_RUN.log(report.task(), report.attempt(), worker.id());
+        LogEvent.UNKNOWN_RUN.log(
+                report.task(), report.attempt(), worker.id(), worker.incarnationStartWallMillis());
         mControl.stop(
                         worker.entry(),
                         report.task(),
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -60,6 +60,12 @@
      */
     private static final long SILENT_POLL_INTERVAL_MILLIS = 500;
 
+    /**
+     * Time after a poll answer within which no later incarnation of the worker can take calls,
+     * since a process takes longer to start.
+     */
+    private static final long SAME_INCARNATION_MILLIS = 100;
+
     /** Delay before a poll that is sent only to acknowledge ends. */
     private static final long ACKNOWLEDGE_DELAY_MILLIS = 300;
 
@@ -109,6 +115,12 @@
 
     private static final long NEVER_SLOW = Long.MIN_VALUE / 2;
 
+    /**
+     * How long after a run was first seen its uncertain pace is set again; the processor of a new
+     * leader has work of its own for the first seconds.
+     */
+    private static final long PACE_CONFIRMATION_DELAY_MILLIS = 3_000;
+
     /** Lowest pace at which a filler's CPU is counted, since a paused filler will resume later. */
     private static final int MIN_ASSUMED_PACE_PERCENT = 40;
 
@@ -125,6 +137,12 @@
          */
         long leaseMillis();
 
+        /** Returns the length in milliseconds of the longest lease that workers accept. */
+        long longestLeaseMillis();
+
+        /** Returns the longest time in milliseconds that a worker takes to stop a run. */
+        long stopTimeoutMillis();
+
         /** Returns whether orders may be sent. */
         boolean mayOrder();
 
@@ -143,6 +161,9 @@
         /** The worker reports a run that the leader does not know. */
         void unknownRun(WorkerSession worker, RunReport report);
 
+        /** Returns the monitor of all calls to workers. */
+        CallMonitor callMonitor();
+
         /** Requests a placement pass, since something has changed that may allow decisions. */
         void requestPass();
 
@@ -193,6 +214,10 @@
     private boolean mAcknowledgePollScheduled;
     private int mFailedPollCount;
     private long mPollSentMillis = Long.MIN_VALUE / 2;
+
+    /** Monotonic time at which a poll was last answered. */
+    private long mAnsweredMillis = Long.MIN_VALUE / 2;
+
     private long mSeenEndNumber;
     private long mStoredEndNumber;
     private long mAcknowledgedEndNumber;
@@ -205,6 +230,9 @@
     /** Time on the worker's clock until which the orders and polls that it may have got lease. */
     private long mLeaseDeadlineClockMillis;
 
+    /** Monotonic time at which the last call was sent that the worker may have got a lease by. */
+    private long mLeaseSentMillis = Long.MIN_VALUE / 2;
+
     /** Time on the worker's clock until which the poll in flight leases; 0 for none. */
     private long mOfferedLeaseClockMillis;
 
@@ -385,6 +413,7 @@
     void start(Run run) {
         long deadlineClockMillis = clockNowMillis() + ORDER_VALID_MILLIS;
         mLeaseDeadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, deadlineClockMillis);
+        mLeaseSentMillis = mLoop.nowMillis();
         run.state = Run.State.ORDERED;
         run.orderExpiresAtMillis = passedAtMillis(deadlineClockMillis);
         WorkerControl.StartOrder order =
@@ -398,6 +427,7 @@
                         run.ticket);
         guarded(
                         () -> mControl.start(mEntry, order, ANSWER_TIMEOUT_MILLIS),
+                        0,
                         OrderOutcome.Unknown::new)
                 .thenAccept(outcome -> startAnswered(run, outcome));
     }
@@ -407,7 +437,10 @@
      * the poll would stay in flight for ever.
      */
     private <T> CompletableFuture<T> guarded(
-            Supplier<CompletableFuture<T>> call, Function<String, T> failure) {
+            Supplier<CompletableFuture<T>> call, long waitMillis, Function<String, T> failure) {
+        long sentMillis = mLoop.nowMillis();
+        CallMonitor monitor = mSupervisor.callMonitor();
+        monitor.sent();
         CompletableFuture<T> answer;
         try {
             answer = call.get();
@@ -415,10 +448,22 @@
             answer = CompletableFuture.failedFuture(e);
         }
         return answer.exceptionally(
-                error -> {
-                    LogEvent.DUTY_FAILED.log(error, "call to worker " + mId);
-                    return failure.apply(error.toString());
-                });
+                        error -> {
+                            LogEvent.DUTY_FAILED.log(error, "call to worker " + mId);
+                            return failure.apply(error.toString());
+                        })
+                .thenApply(
+                        outcome -> {
+                            monitor.ended(sentMillis, waitMillis, isAnswer(outcome));
+                            return outcome;
+                        });
+    }
+
+    private static boolean isAnswer(Object outcome) {
+        return !(outcome instanceof OrderOutcome.Unknown
+                || outcome instanceof OrderOutcome.NotDone
+                || outcome instanceof PollOutcome.NotSent
+                || outcome instanceof PollOutcome.Failed);
     }
 
     private void startAnswered(Run run, OrderOutcome outcome) {
@@ -500,6 +545,7 @@
                                         run.attempt,
                                         mSupervisor.fencingToken(),
                                         ANSWER_TIMEOUT_MILLIS),
+                        0,
                         OrderOutcome.Unknown::new)
                 .thenAccept(outcome -> stopAnswered(run, outcome));
     }
@@ -533,8 +579,10 @@
 
     /** Sets the pace of a run. */
     void pace(Run run, int percent) {
-        boolean alreadySet = run.pacePercent == percent && !run.paceUncertain;
-        if (run.paceInFlight || alreadySet || run.state != Run.State.PRESENT) {
+        boolean mayBeSet = run.pacePercent == percent;
+        if (run.paceInFlight
+                || run.state != Run.State.PRESENT
+                || (mayBeSet && !isPaceConfirmationDue(run))) {
             return;
         }
         run.paceInFlight = true;
@@ -548,6 +596,7 @@
                                         percent,
                                         mSupervisor.fencingToken(),
                                         ANSWER_TIMEOUT_MILLIS),
+                        0,
                         OrderOutcome.Unknown::new)
                 .thenAccept(
                         outcome -> {
@@ -561,6 +610,16 @@
                         });
     }
 
+    /**
+     * Returns whether a pace should be set again, since the worker may have another one. A new
+     * leader does so for every filler, so these orders are spread over its first seconds.
+     */
+    private boolean isPaceConfirmationDue(Run run) {
+        return run.paceUncertain
+                && mLoop.nowMillis() - run.confirmedMillis >= PACE_CONFIRMATION_DELAY_MILLIS
+                && mRuns.values().stream().noneMatch(other -> other.paceInFlight);
+    }
+
     /** Sends stop orders again that got no answer, and polls if necessary. */
     void repeatOrders() {
         for (Run run : new ArrayList<>(mRuns.values())) {
@@ -594,7 +653,7 @@
         }
         boolean hasSentRuns =
                 mRuns.values().stream().anyMatch(run -> run.state != Run.State.DECIDED);
-        if (hasSentRuns || isProbeDue()) {
+        if (hasSentRuns || isProbeDue() || isAcknowledgementDue()) {
             sendPoll();
         } else if (mAcknowledgedEndNumber < mStoredEndNumber && !mAcknowledgePollScheduled) {
             mAcknowledgePollScheduled = true;
@@ -636,8 +695,7 @@
                 unresolved || silent() || mRuns.isEmpty()
                         ? 0
                         : shared ? SHARED_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
-        // A repeated acknowledgement would make a worker that has restarted forget its first ends.
-        long acknowledged = mAcknowledgedEndNumber < mStoredEndNumber ? mStoredEndNumber : 0;
+        long acknowledged = isAcknowledgementDue() ? mStoredEndNumber : 0;
         guarded(
                         () ->
                                 mControl.poll(
@@ -647,10 +705,32 @@
                                         acknowledged,
                                         waitMillis,
                                         waitMillis + ANSWER_TIMEOUT_MILLIS),
+                        waitMillis,
                         PollOutcome.Failed::new)
                 .thenAccept(outcome -> pollAnswered(outcome, sentMillis, acknowledged));
     }
 
+    /**
+     * Returns whether the next poll acknowledges ends. A worker that has restarted would forget its
+     * own first ends, so nothing is acknowledged twice, to a silent worker, or while an order may
+     * have been carried out by a later incarnation.
+     */
+    private boolean isAcknowledgementDue() {
+        return mAcknowledgedEndNumber < mStoredEndNumber
+                && !silent()
+                && mLoop.nowMillis() - mAnsweredMillis <= SAME_INCARNATION_MILLIS
+                && mRuns.values().stream().noneMatch(Run::mayBeOnLaterIncarnation);
+    }
+
+    /**
+     * Returns whether the worker answers polls at once, with ends that cannot be acknowledged
+     * before a start order is answered.
+     */
+    private boolean isAcknowledgementWithheld() {
+        return mAcknowledgedEndNumber < mStoredEndNumber
+                && mRuns.values().stream().anyMatch(run -> run.state == Run.State.ORDERED);
+    }
+
     /**
      * Returns whether any poll answer shows if a run is present, so that the poll must not wait for
      * a run to end.
@@ -661,9 +741,10 @@
 
     private void pollAnswered(PollOutcome outcome, long sentMillis, long acknowledged) {
         mPollInFlight = false;
-        if (!(outcome instanceof PollOutcome.NotSent)) {
+        if (!(outcome instanceof PollOutcome.NotSent) && mOfferedLeaseClockMillis > 0) {
             mLeaseDeadlineClockMillis =
                     Math.max(mLeaseDeadlineClockMillis, mOfferedLeaseClockMillis);
+            mLeaseSentMillis = Math.max(mLeaseSentMillis, sentMillis);
         }
         mOfferedLeaseClockMillis = 0;
         if (mClosed) {
@@ -684,11 +765,13 @@
                     mSupervisor.leaseBoundChanged();
                 }
                 mAcknowledgedEndNumber = Math.max(mAcknowledgedEndNumber, acknowledged);
+                mAnsweredMillis = mLoop.nowMillis();
                 noteClock(seen.clockMillis());
                 noteReached();
                 applyReports(seen, sentMillis);
                 mSupervisor.polled(this);
-                if (mRuns.values().stream().anyMatch(this::isUnresolved)) {
+                if (mRuns.values().stream().anyMatch(this::isUnresolved)
+                        || isAcknowledgementWithheld()) {
                     mLoop.schedule(POLL_RETRY_MILLIS, this::poll);
                 } else {
                     poll();
@@ -746,14 +829,29 @@
     private boolean isGone(Run run, long sentMillis) {
         return switch (run.state) {
             case DECIDED, ORDERED -> false;
-            case PRESENT -> run.confirmedMillis < sentMillis;
+            case PRESENT ->
+                    run.confirmedMillis < sentMillis
+                            && (!run.stopping || hasStopped(run, sentMillis));
             case UNKNOWN ->
-                    run.stopConfirmedMillis < sentMillis || run.orderExpiresAtMillis < sentMillis;
+                    hasStopped(run, sentMillis)
+                            || run.orderExpiresAtMillis < sentMillis - stopTimeoutMillis();
             // The poll's fencing token makes the worker refuse orders of the previous leader.
             case INHERITED -> true;
         };
     }
 
+    /**
+     * Returns whether a stop order had certainly ended a run before a given time. While it takes
+     * effect, the worker may list the run neither as running nor as ended.
+     */
+    private boolean hasStopped(Run run, long atMillis) {
+        return run.stopConfirmedMillis < atMillis - stopTimeoutMillis();
+    }
+
+    private long stopTimeoutMillis() {
+        return toOwnClock(mSupervisor.stopTimeoutMillis());
+    }
+
     /** Returns whether all leases that any leader has granted must have lapsed on the worker. */
     boolean leasesLapsed() {
         return mLoop.nowMillis() > leaseEndMillis();
@@ -762,7 +860,17 @@
     /** Returns the monotonic time after which all leases must have lapsed on the worker. */
     private long leaseEndMillis() {
         long deadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, mOfferedLeaseClockMillis);
-        return Math.max(mInheritedLeaseEndMillis, passedAtMillis(deadlineClockMillis));
+        long sentMillis =
+                mOfferedLeaseClockMillis > 0
+                        ? Math.max(mLeaseSentMillis, mPollSentMillis)
+                        : mLeaseSentMillis;
+        // A deadline on the clock of the session's incarnation may lie far ahead on that of a later
+        // one, which shortens it to the longest lease.
+        long longestEndMillis =
+                sentMillis + ANSWER_TIMEOUT_MILLIS + toOwnClock(mSupervisor.longestLeaseMillis());
+        return Math.max(
+                mInheritedLeaseEndMillis,
+                Math.min(passedAtMillis(deadlineClockMillis), longestEndMillis));
     }
 
     boolean silent() {
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -23,6 +23,8 @@
     SETTINGS_REFUSED(105, Level.ERROR, "changed settings are not used: {}"),
     /** Log lines were dropped. */
     LOG_DROPPED(106, Level.WARN, "{} log lines were dropped"),
+    /** The event loop ran its tasks late. */
+    LOOP_DELAYED(107, Level.WARN, "the event loop was up to {} ms late within {} ms"),
     /** The log cannot be read or written. */
     LOG_UNAVAILABLE(200, Level.WARN, "{}"),
     /** The log can be read or written again. */
@@ -91,9 +93,9 @@
     /** A request was refused. */
     REQUEST_REFUSED(511, Level.INFO, "request for job {} refused with {}: {}"),
     /** A worker is ordered to start a task. */
-    TASK_ORDERED(512, Level.INFO, "task {} attempt {} ordered on worker {}"),
+    TASK_ORDERED(512, Level.INFO, "task {} attempt {} ordered on worker {} incarnation {}"),
     /** A run has ended. */
-    TASK_ENDED(513, Level.INFO, "task {} attempt {} on worker {} ended: {}"),
+    TASK_ENDED(513, Level.INFO, "task {} attempt {} on worker {} incarnation {} ended: {}"),
     /** A job reached its final phase. */
     JOB_ENDED(514, Level.INFO, "job {} is {} after {} ms"),
     /** A job is cancelled. */
@@ -106,7 +108,9 @@
     ORDER_REJECTED(518, Level.WARN, "order {} for {} was rejected: {}"),
     /** A worker reports a run that the leader does not know; the run is stopped. */
     UNKNOWN_RUN(
-            519, Level.WARN, "task {} attempt {} is stopped on worker {}: nothing is known of it"),
+            519,
+            Level.WARN,
+            "task {} attempt {} is stopped on worker {} incarnation {}: nothing is known of it"),
     /** The pace of a run is changed. */
     RUN_PACED(520, Level.INFO, "run {} is paced from {} to {} percent"),
     /** A filler is stopped to resume on another worker. */
@@ -115,6 +119,11 @@
     WORKER_SLOW(523, Level.WARN, "worker {} is slow; its runs advance at {} of the usual speed"),
     /** A run on a slow worker is stopped so that it starts on another worker. */
     SLOW_RUN_MOVED(524, Level.INFO, "slow run {} at {} percent is stopped to start elsewhere"),
+    /** Calls to workers were answered late or not at all. */
+    CALLS_SLOW(
+            525,
+            Level.WARN,
+            "calls to workers within {} ms: {} answered, up to {} ms late, {} not; {} in flight"),
     /** Ended jobs are removed from the store. */
     JOBS_FORGOTTEN(521, Level.INFO, "{} ended jobs are removed from the store: {}"),
     /** An instance list cannot be used and was ignored. */
