--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -29,6 +29,9 @@
     /** Longest lease that a worker accepts; it shortens longer ones. */
     public static final long LONGEST_LEASE_MILLIS = 6_000;
 
+    /** Largest number of ends that a worker lists in one answer. */
+    private static final int MAX_LISTED_END_COUNT = 500;
+
     private final Loop mLoop;
     private final WorkerId mId;
     private final Resources mCapacity;
@@ -43,6 +46,9 @@
     private long mLastEndNumber;
     private long mAcknowledgedEnd;
 
+    /** Address at which the worker answers. */
+    public String address;
+
     /** Whether calls neither reach the worker nor get an answer. */
     public boolean unreachable;
 
@@ -96,12 +102,13 @@
      *
      * @param loop event loop that provides the clocks and timers
      * @param name id of the worker
-     * @param cpuMillicores its processor capacity
+     * @param capacity its capacity
      */
-    public FakeWorker(Loop loop, String name, long cpuMillicores) {
+    public FakeWorker(Loop loop, String name, Resources capacity) {
         mLoop = loop;
         mId = new WorkerId(name);
-        mCapacity = new Resources(cpuMillicores, 64_000, 0);
+        address = name;
+        mCapacity = capacity;
         mIncarnationStartWallMillis = loop.wallMillis();
     }
 
@@ -110,6 +117,15 @@
      * reports are lost. The entry in the registry stays as it is.
      */
     public void restart() {
+        restart(0);
+    }
+
+    /**
+     * Restarts the worker after its time of day has jumped.
+     *
+     * @param jumpMillis by how much the time of day has jumped
+     */
+    public void restart(long jumpMillis) {
         mRunning.clear();
         mHighestEndedAttempts.clear();
         mUnacknowledgedEnds.clear();
@@ -117,7 +133,7 @@
         mLeaseDeadlineClockMillis = 0;
         mLastEndNumber = 0;
         mAcknowledgedEnd = 0;
-        mIncarnationStartWallMillis = mLoop.wallMillis();
+        mIncarnationStartWallMillis = mLoop.wallMillis() + jumpMillis;
         mClockOriginMillis = mLoop.nowMillis();
     }
 
@@ -131,7 +147,7 @@
                 mId,
                 mIncarnationStartWallMillis,
                 "pool",
-                mId.value(),
+                address,
                 new FailureDomainId("zone"),
                 "rack",
                 Set.of("kind", "rack"),
@@ -257,12 +273,14 @@
         mRunning.forEach(
                 (task, attempt) ->
                         running.add(new RunReport(task, attempt, checkpoint, percent(task), 0)));
+        int listedCount = Math.min(MAX_LISTED_END_COUNT, mUnacknowledgedEnds.size());
+        List<EndReport> ended = mUnacknowledgedEnds.subList(0, listedCount);
         return new PollOutcome.Seen(
                 mIncarnationStartWallMillis,
                 clockMillis(),
                 running,
-                List.copyOf(mUnacknowledgedEnds),
-                true);
+                List.copyOf(ended),
+                ended.size() < MAX_LISTED_END_COUNT);
     }
 
     private int percent(TaskName task) {
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
@@ -9,6 +9,7 @@
 import org.hornbeamward.dispatch.port.Loop;
 import org.hornbeamward.dispatch.port.WorkerControl;
 import org.hornbeamward.dispatch.port.WorkerEntry;
+import org.hornbeamward.lib.Resources;
 import org.jspecify.annotations.Nullable;
 
 /** Worker control for fake workers, with response times and faults. */
@@ -49,7 +50,18 @@
      * @return the worker
      */
     public FakeWorker add(String name, long cpuMillicores) {
-        FakeWorker worker = new FakeWorker(mLoop, name, cpuMillicores);
+        return add(name, new Resources(cpuMillicores, 64_000, 0));
+    }
+
+    /**
+     * Adds a worker.
+     *
+     * @param name id of the worker
+     * @param capacity its capacity
+     * @return the worker
+     */
+    public FakeWorker add(String name, Resources capacity) {
+        FakeWorker worker = new FakeWorker(mLoop, name, capacity);
         mWorkers.put(name, worker);
         return worker;
     }
@@ -77,7 +89,7 @@
         if (worker.callsThrow) {
             throw new IllegalArgumentException("port 99999 is out of range");
         }
-        if (worker.refusesConnections) {
+        if (worker.refusesConnections || !entry.address().equals(worker.address)) {
             mLoop.schedule(CONNECT_MILLIS, () -> answer.complete(notConnectedOutcome));
         } else if (worker.unreachable) {
             mLoop.schedule(timeoutMillis, () -> answer.complete(unreachableOutcome));
