Add a failing test of a start that is carried out after its stop and one restart

The worker answers the stop, a poll does not list the run (Run.UNKNOWN in WorkerSession.isGone) and the task starts elsewhere. The worker restarts, forgets the stop and carries out the start; its deadline is a time on the clock of the ended incarnation.

Command: mvn -o -q verify -pl org.hornbeamward.dispatch.test -am -Dtest=RestartedWorkerTest -Dsurefire.failIfNoSpecifiedTests=false

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -278,4 +278,29 @@
         assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
         assertEquals(2, mFixture.startedCount());
     }
+
+    /**
+     * Guards against a start order without an answer that a restarted worker carries out after the
+     * earlier incarnation has confirmed that it does not run: the later one does not know of the
+     * stop order.
+     */
+    @Test
+    void aStartThatWasStoppedBeforeARestartIsNotCarriedOutAfterIt() {
+        setTaskMillis(10_000);
+        worker("w2").draining = true;
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(10_000);
+        worker("w1").startDelayMillis = 3_500;
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        worker("w1").startDelayMillis = 0;
+        worker("w1").draining = true;
+        worker("w2").draining = false;
+        publishEntries();
+        mFixture.mLoop.advance(1_700);
+        assertEquals(1, worker("w2").started.size());
+        worker("w1").restart();
+        publishEntries();
+        advanceAndExpectRunsAtMost(1, 8_000);
+    }
 }
