Add failing tests of polls that a restarted worker carries out late

WorkerSession.leaseEndMillis assumes that a later incarnation takes a call within ANSWER_TIMEOUT_MILLIS of its sending, and Dispatcher.moveRuns that calls of the closed session grant nothing after the switch. A call may be carried out seconds later, and its deadline does not bound it on the new clock. The worker keeps its runs for up to the longest lease from then on; the leader starts the task elsewhere earlier: two runs.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -303,4 +303,59 @@
         publishEntries();
         advanceAndExpectRunsAtMost(1, 8_000);
     }
+
+    /**
+     * Guards against a second run of a task on a worker that restarted unnoticed and carries out a
+     * poll late, so that its leases last longer than those of calls that are answered.
+     */
+    @Test
+    void aPollThatARestartedWorkerCarriesOutLateIsCountedAmongItsLeases() {
+        setTaskMillis(30_000);
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(60_000);
+        restartAll();
+        setPollDelayMillis(3_500);
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(60);
+        assertEquals(1, mFixture.startedCount());
+        FakeWorker busy = worker("w1").running().isEmpty() ? worker("w2") : worker("w1");
+        setPollDelayMillis(0);
+        busy.unreachable = true;
+        advanceAndExpectOneRunWithLeases(12_000);
+        assertEquals(2, mFixture.startedCount());
+    }
+
+    /** Guards against the same when the poll was sent to the earlier incarnation. */
+    @Test
+    void aPollOfTheEndedIncarnationThatIsCarriedOutLateIsCountedAmongTheLeases() {
+        setTaskMillis(30_000);
+        worker("w2").draining = true;
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(60_000);
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(2_000);
+        assertEquals(1, worker("w1").running().size());
+        worker("w1").pollDelayMillis = 4_000;
+        mFixture.mLoop.advance(1_200);
+        worker("w1").pollDelayMillis = 0;
+        worker("w1").restart();
+        publishEntries();
+        mFixture.mLoop.advance(1_000);
+        assertEquals(1, worker("w1").running().size());
+        worker("w1").unreachable = true;
+        worker("w2").draining = false;
+        publishEntries();
+        advanceAndExpectOneRunWithLeases(14_000);
+        assertEquals(1, worker("w2").started.size());
+    }
+
+    private void advanceAndExpectOneRunWithLeases(long millis) {
+        for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
+            mFixture.mLoop.advance(10);
+            for (String name : NAMES) {
+                worker(name).expireLeases();
+            }
+            assertTrue(mFixture.runningCount() <= 1, "two runs after " + passedMillis + " ms");
+        }
+    }
 }
