Keep room for a lost task only on workers that are large enough for it

Callers would see short jobs wait for as long as a task that lasts and was lost finds no worker.

Cause: Placement.chooseToKeepFree compared only processors with a worker's capacity, so that the tasks of a lost worker with accelerators kept room on workers without any; their free accelerators became negative, and no task fitted.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
@@ -213,7 +213,8 @@
             Demand demand, Iterable<C> candidates, ToIntFunction<C> sameStepCount) {
         List<C> suitable = new ArrayList<>();
         for (C candidate : candidates) {
-            if (isSuitable(demand, candidate, sameStepCount)
+            if (demand.step().reservation().fitsIn(candidate.entry().capacity())
+                    && isSuitable(demand, candidate, sameStepCount)
                     && leavesShare(demand.step(), candidate)) {
                 suitable.add(candidate);
             }
