Never withhold the acknowledgement of ends for good

Callers would see a job that stays running although all of its tasks are done, while the leader polls without a pause (100 polls in 300 ms of virtual time).

Change: a run counts as seen when the answer to its start tells a clock that a later incarnation cannot have yet; a truncated list does not hold back the acknowledgement; and ends that are stored already are acknowledged directly after an answer that lists further ones.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -35,7 +35,7 @@
      */
     public final String checkpoint;
 
-    /** Whether a poll answer of the session's incarnation has listed the run. */
+    /** Whether an answer of the session's incarnation has shown that the run is present there. */
     public boolean listed;
 
     /**
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -218,6 +218,9 @@
     /** Monotonic time at which a poll was last answered. */
     private long mAnsweredMillis = Long.MIN_VALUE / 2;
 
+    /** Whether the last answer listed only a part of the ends or runs. */
+    private boolean mListTruncated;
+
     private long mSeenEndNumber;
     private long mStoredEndNumber;
     private long mAcknowledgedEndNumber;
@@ -476,6 +479,7 @@
         }
         switch (outcome) {
             case OrderOutcome.Done done -> {
+                run.listed |= isClockOfThisIncarnation(done.clockMillis());
                 noteClock(done.clockMillis());
                 markPresent(run);
             }
@@ -502,6 +506,15 @@
         poll();
     }
 
+    /**
+     * Returns whether an answer with a clock reading was given by the incarnation that answered the
+     * last poll. A later incarnation started after that answer, and its clock with it.
+     */
+    private boolean isClockOfThisIncarnation(long clockMillis) {
+        long sinceAnswerMillis = mLoop.nowMillis() - mAnsweredMillis;
+        return clockMillis > toOwnClock(sinceAnswerMillis + ANSWER_TIMEOUT_MILLIS);
+    }
+
     private void startRejected(Run run, WorkerControl.Rejection reason) {
         LogEvent.ORDER_REJECTED.log("start", run, reason);
         switch (reason) {
@@ -656,6 +669,7 @@
         // A worker answers at once while it has unacknowledged ends. Until they are stored, only
         // the renewal of leases is a reason to poll.
         if (mSeenEndNumber > mStoredEndNumber
+                && !isAcknowledgementDue()
                 && mLoop.nowMillis() - mPollSentMillis < RENEWAL_INTERVAL_MILLIS) {
             return;
         }
@@ -721,13 +735,15 @@
     /**
      * Returns whether the next poll acknowledges ends. A worker that has restarted would forget its
      * own first ends, so nothing is acknowledged twice, to a silent worker, or while an order may
-     * have been carried out by a later incarnation.
+     * have been carried out by a later incarnation. A truncated list is an exception, since it may
+     * leave out the run in question until ends are acknowledged.
      */
     private boolean isAcknowledgementDue() {
         return mAcknowledgedEndNumber < mStoredEndNumber
                 && !silent()
                 && hasJustAnswered()
-                && mRuns.values().stream().noneMatch(Run::mayBeOnLaterIncarnation);
+                && (mListTruncated
+                        || mRuns.values().stream().noneMatch(Run::mayBeOnLaterIncarnation));
     }
 
     /** Returns whether the worker cannot have restarted since its last answer to a poll. */
@@ -779,6 +795,7 @@
                 }
                 mAcknowledgedEndNumber = Math.max(mAcknowledgedEndNumber, acknowledged);
                 mAnsweredMillis = mLoop.nowMillis();
+                mListTruncated = !seen.complete();
                 noteClock(seen.clockMillis());
                 noteReached();
                 applyReports(seen, sentMillis);
