Prefer an interrupted task to short jobs only after three seconds

Suspected cause: tasks that last fail at any time, and since each one that had ended went before all short jobs and took the room that is kept for them at once. That is needed only for tasks that have been away for long, since callers count one as lost 9 s after its last run.

A task counts as interrupted 3 s after the time at which its last run was known to be at work: now, if its worker answers, else the worker's last answer. The tasks of a lost worker have been away for longer when their leases lapse, so they go first as before.

DispatcherTest.aLongRunningTaskWhoseRunEndedWaitsBehindShortJobsOnlyForAWhile fails without the three seconds. 250 tests of the bundle pass.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
@@ -123,6 +123,37 @@
                 "the task of the lost worker has not started again");
     }
 
+    /**
+     * Guards against short jobs that miss their objective whenever a long-running task fails, and
+     * against a task that then stays away.
+     */
+    @Test
+    void aLongRunningTaskWhoseRunEndedWaitsBehindShortJobsOnlyForAWhile() {
+        worker("w2").draining = true;
+        mFixture.startDispatcher(1);
+        setTaskMillis(60_000);
+        JobId lasting = mFixture.submit("lasting", LeaderFixture.longRunning(1, 3_500));
+        mFixture.mLoop.advance(3_000);
+        worker("w1").taskMillis = 400;
+        mFixture.submit("quick", LeaderFixture.step(4, 1_000));
+        mFixture.mLoop.advance(100);
+        worker("w1").breakGangs();
+        mFixture.mLoop.advance(200);
+        assertEquals(4, worker("w1").running().size());
+        assertTrue(worker("w1").running().stream().noneMatch(task -> task.job().equals(lasting)));
+        int startedCount = 0;
+        for (int jobCount = 0; jobCount < 60; jobCount++) {
+            mFixture.submit("next" + jobCount, LeaderFixture.step(1, 1_000));
+            mFixture.mLoop.advance(100);
+            startedCount += worker("w1").running().contains(firstTaskOf(lasting)) ? 1 : 0;
+        }
+        assertTrue(startedCount > 0, "the long-running task has not started again");
+    }
+
+    private static TaskName firstTaskOf(JobId job) {
+        return new TaskName(job, 0, 0, 0);
+    }
+
     /** Guards against a new leader that starts tasks which the previous one has started. */
     @Test
     void aNewLeaderTakesOverRunningTasks() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -464,6 +464,7 @@
         run.worker.remove(run);
         if (run.task.run == run) {
             run.task.run = null;
+            run.task.awaySinceMillis = run.worker.lastContactMillis();
             run.task.waitingSinceMillis = Long.MAX_VALUE;
             run.task.step.job.liveRunCount--;
             mJobs.markChanged(run.task.step.job);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -65,12 +65,17 @@
 
     /** The state of one placement pass: usable workers, new runs and demands without a worker. */
     private final class Pass {
+        private final long mNowMillis;
         private final List<WorkerSession> mUsableWorkers = new ArrayList<>();
         private final List<Run> mRuns = new ArrayList<>();
         private final Set<Task> mPlaced = new HashSet<>();
         private final Map<WorkerSession, WorkerCandidate> mCandidates = new HashMap<>();
         private final Map<Demand.Kind, List<Demand>> mUnplaced = new HashMap<>();
 
+        Pass(long nowMillis) {
+            mNowMillis = nowMillis;
+        }
+
         /** Returns whether the pass has placed a task, whose run is not attached yet. */
         private boolean isPlaced(Task task) {
             return mPlaced.contains(task);
@@ -116,11 +121,11 @@
             return List.of();
         }
         long nowWallMillis = loop.wallMillis();
-        List<RankedJob> ranked = rank(nowWallMillis);
+        List<RankedJob> ranked = rank(nowWallMillis, loop.nowMillis());
         if (ranked.isEmpty()) {
             return List.of();
         }
-        Pass pass = newPass(workers);
+        Pass pass = newPass(workers, loop.nowMillis());
         boolean waitForBatch = awaitsLongRunningJobs(ranked, loop.nowMillis());
         for (RankedJob entry : ranked) {
             if (entry.sortKey().interrupted()) {
@@ -147,8 +152,8 @@
                 && nowMillis - oldestMillis < BATCH_WAIT_LIMIT_MILLIS;
     }
 
-    private Pass newPass(Collection<WorkerSession> workers) {
-        Pass pass = new Pass();
+    private Pass newPass(Collection<WorkerSession> workers, long nowMillis) {
+        Pass pass = new Pass(nowMillis);
         for (WorkerSession worker : workers) {
             if (worker.usable() && !mDomainsOut.contains(worker.entry().domain())) {
                 pass.mUsableWorkers.add(worker);
@@ -157,7 +162,7 @@
         return pass;
     }
 
-    private List<RankedJob> rank(long nowWallMillis) {
+    private List<RankedJob> rank(long nowWallMillis, long nowMillis) {
         List<RankedJob> ranked = new ArrayList<>();
         Map<String, Long> demand = waitingLongRunningDemand();
         for (Job job : mJobs.active()) {
@@ -166,7 +171,7 @@
                 continue;
             }
             ranked.add(new RankedJob(job, sortKey(job, queue, nowWallMillis, false, demand)));
-            if (hasInterruptedTask(job)) {
+            if (hasInterruptedTask(job, nowMillis)) {
                 ranked.add(new RankedJob(job, sortKey(job, queue, nowWallMillis, true, demand)));
             }
         }
@@ -175,13 +180,13 @@
         return ranked;
     }
 
-    private static boolean hasInterruptedTask(Job job) {
+    private static boolean hasInterruptedTask(Job job, long nowMillis) {
         if (!job.spec().longRunning()) {
             return false;
         }
         for (Step step : job.steps(0)) {
             for (Task task : step.tasks) {
-                if (task.interrupted()) {
+                if (task.interrupted(nowMillis)) {
                     return true;
                 }
             }
@@ -273,9 +278,9 @@
             if (step.spec.gang()) {
                 continue;
             }
-            placeTasks(pass, step, Task::interrupted, nowMillis);
+            placeTasks(pass, step, task -> task.interrupted(nowMillis), nowMillis);
             for (Task task : step.tasks) {
-                if (task.interrupted()
+                if (task.interrupted(nowMillis)
                         && !pass.isPlaced(task)
                         && !step.spec.filler()
                         && task.notBeforeMillis <= nowMillis) {
@@ -289,7 +294,7 @@
         QueueConfig queue = task.step.job.queue;
         if (queue != null) {
             Placement.chooseToKeepFree(
-                            demand(task, queue, "", 0),
+                            demand(pass, task, queue, "", 0),
                             candidates(pass),
                             candidate -> candidate.sameStepCount(task.step))
                     .ifPresent(candidate -> candidate.keepFree(task.step.spec));
@@ -363,7 +368,7 @@
         if (queue == null) {
             return null;
         }
-        Demand demand = demand(task, queue, rack, waitedMillis);
+        Demand demand = demand(pass, task, queue, rack, waitedMillis);
         if (pass.isKnownUnplaceable(demand)) {
             return null;
         }
@@ -377,7 +382,8 @@
         return new Run(task, attempt, chosen.get().worker(), "");
     }
 
-    private static Demand demand(Task task, QueueConfig queue, String rack, long waitedMillis) {
+    private static Demand demand(
+            Pass pass, Task task, QueueConfig queue, String rack, long waitedMillis) {
         Step step = task.step;
         return new Demand(
                 step.spec,
@@ -385,7 +391,7 @@
                 rack.isEmpty() ? rackFor(step) : rack,
                 waitedMillis,
                 task.failedOn,
-                step.spec.longRunning() && task.interrupted());
+                step.spec.longRunning() && task.interrupted(pass.mNowMillis));
     }
 
     private static List<WorkerCandidate> candidates(Pass pass) {
@@ -404,7 +410,7 @@
      * @param workers all workers
      */
     boolean hasBetterPlacement(Run run, Collection<WorkerSession> workers) {
-        Pass pass = newPass(workers);
+        Pass pass = newPass(workers, run.worker.nowMillis());
         pass.mUsableWorkers.remove(run.worker);
         Run moved = placeTask(pass, run.task, run.attempt + 1, "", 0);
         if (moved == null) {
@@ -425,7 +431,7 @@
      * @param workers all workers
      */
     boolean hasHealthyPlacement(Run run, Collection<WorkerSession> workers) {
-        Pass pass = newPass(workers);
+        Pass pass = newPass(workers, run.worker.nowMillis());
         pass.mUsableWorkers.remove(run.worker);
         Run moved = placeTask(pass, run.task, run.attempt + 1, "", 0);
         return moved != null && moved.worker.suspicion() == 0;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
@@ -9,6 +9,13 @@
     /** Largest number of moves of one task; each costs a stop, a start and the time to resume. */
     static final int MAX_MOVE_COUNT = 3;
 
+    /**
+     * Time for which a task that lasts may wait behind new work after its run has ended. Callers
+     * count it as lost 9 s after its last run, and a leader that has just taken over may need 2 s
+     * to start it.
+     */
+    private static final long URGENT_AWAY_MILLIS = 3_000;
+
     public final Step step;
     public final TaskName name;
     public boolean done;
@@ -33,6 +40,9 @@
      */
     public long waitingSinceMillis = Long.MAX_VALUE;
 
+    /** Monotonic time at which the last run was last known to be at work; long ago if unknown. */
+    public long awaySinceMillis = Long.MIN_VALUE / 2;
+
     /** Number of moves to another worker, away from serving tasks or from a slow worker. */
     public int moveCount;
 
@@ -52,8 +62,13 @@
         return !done && run == null;
     }
 
-    /** Returns whether the task waits and has been ordered before. */
-    boolean interrupted() {
-        return waiting() && lastAttempt > 0;
+    /**
+     * Returns whether the task has been running before and has now been away for so long that it
+     * has to be started before new work.
+     *
+     * @param nowMillis monotonic time
+     */
+    boolean interrupted(long nowMillis) {
+        return waiting() && lastAttempt > 0 && nowMillis - awaySinceMillis >= URGENT_AWAY_MILLIS;
     }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -931,6 +931,15 @@
         return mFailedPollCount > 0;
     }
 
+    /** Returns the monotonic time at which the worker was last known to work; now if it answers. */
+    long lastContactMillis() {
+        return silent() ? mAnsweredMillis : mLoop.nowMillis();
+    }
+
+    long nowMillis() {
+        return mLoop.nowMillis();
+    }
+
     /** Returns whether the worker has answered the last poll of this session. */
     boolean answers() {
         return mReached && !silent();
