Count a run as seen only when a poll lists it

Cause, since: a start whose answer told a clock that a later incarnation could not have yet counted as seen on the known one. The clock was compared with the time at which the last poll answer was handled, which may be seconds after the worker gave it, so a run on a restarted worker was taken for one of the ended incarnation and given up.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -35,7 +35,7 @@
      */
     public final String checkpoint;
 
-    /** Whether an answer of the session's incarnation has shown that the run is present there. */
+    /** Whether a poll answer of the session's incarnation has listed the run. */
     public boolean listed;
 
     /**
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -479,7 +479,6 @@
         }
         switch (outcome) {
             case OrderOutcome.Done done -> {
-                run.listed |= isClockOfThisIncarnation(done.clockMillis());
                 noteClock(done.clockMillis());
                 markPresent(run);
             }
@@ -506,15 +505,6 @@
         poll();
     }
 
-    /**
-     * Returns whether an answer with a clock reading was given by the incarnation that answered the
-     * last poll. A later incarnation started after that answer, and its clock with it.
-     */
-    private boolean isClockOfThisIncarnation(long clockMillis) {
-        long sinceAnswerMillis = mLoop.nowMillis() - mAnsweredMillis;
-        return clockMillis > toOwnClock(sinceAnswerMillis + ANSWER_TIMEOUT_MILLIS);
-    }
-
     private void startRejected(Run run, WorkerControl.Rejection reason) {
         LogEvent.ORDER_REJECTED.log("start", run, reason);
         switch (reason) {
