--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaultsTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaultsTest.java
@@ -15,7 +15,8 @@
  */
 class RandomFaultsTest {
     static LongStream seeds() {
-        return LongStream.rangeClosed(1, 40);
+        // The last two broke TWICE when the answer to a start counted as contact.
+        return LongStream.concat(LongStream.rangeClosed(1, 40), LongStream.of(60_286, 60_552));
     }
 
     /** Seeds that found faults, also with earlier versions of the generator. */
