Log what waiting tasks need, late jobs, and the work of placement

When a job is accepted and never served, the log shows its acceptance and nothing else: neither why its tasks wait nor whether the leader was late.

HW526 names, once a second for each kind of task, what the first waiting task needs, the largest room of a worker, how many workers have enough processors and memory, and how the processors are shared. HW527 follows a job that misses its objective. HW528 and seven metrics tell the time of ranking, placing and searching for moves, the workers looked at, and the delay of passes and orders.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/JobOrder.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/JobOrder.java
@@ -64,15 +64,28 @@
         }
     }
 
-    private enum Tier {
+    /** What decides first on a job's place in the order. */
+    public enum Tier {
+        /** Long-running tasks that have been running before. */
         INTERRUPTED,
+        /** Jobs that can still meet their objective. */
         IN_TIME,
+        /** New long-running jobs. */
         LONG_RUNNING,
+        /** Jobs that can no longer meet their objective. */
         LATE,
+        /** Jobs whose result is worth nothing any more. */
         WORTHLESS
     }
 
-    private static Tier tier(SortKey key, long nowWallMillis) {
+    /**
+     * Returns the tier of a job.
+     *
+     * @param key properties of the job
+     * @param nowWallMillis time of day in Unix milliseconds
+     * @return its tier at that time
+     */
+    public static Tier tier(SortKey key, long nowWallMillis) {
         if (key.interrupted()) {
             return Tier.INTERRUPTED;
         }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -102,6 +102,7 @@
     private final DispatchLimits mLimits;
     private final NodeMetrics mMetrics;
     private final CallMonitor mCallMonitor;
+    private final PlacementMonitor mPlacementMonitor;
     private final long mEpoch;
     private final FormerLeader mFormerLeader;
     private final FencedWriter.DeposedListener mDeposedListener;
@@ -119,6 +120,10 @@
     private boolean mOpen = true;
     private boolean mReady;
     private boolean mPassScheduled;
+
+    /** Monotonic time at which the next placement pass was first requested. */
+    private long mPassRequestedMillis = Long.MAX_VALUE;
+
     private boolean mAwaitingConfirmation;
     private boolean mLeaseBoundChanged;
 
@@ -168,6 +173,7 @@
         mLimits = limits;
         mMetrics = metrics;
         mCallMonitor = new CallMonitor(loop, metrics);
+        mPlacementMonitor = new PlacementMonitor(loop, metrics);
         mEpoch = epoch;
         mFormerLeader = formerLeader;
         mDeposedListener = deposedListener;
@@ -180,7 +186,7 @@
         mWorkers =
                 new WorkerRegistry(loop, store, documents, this::newSession, new WorkersListener());
         mFillerController = new FillerController(loop);
-        mScheduler = new Scheduler(mJobs, mFillerController);
+        mScheduler = new Scheduler(mJobs, mFillerController, mPlacementMonitor);
         mSlowRunDetector = new SlowRunDetector(loop);
     }
 
@@ -491,6 +497,7 @@
             }
         }
         removeEndedJobs();
+        mPlacementMonitor.logIfDue(mOrders.size());
         if (!mWriter.isBusy() && mWriter.unconfirmedMillis() > CONFIRM_AFTER_MILLIS) {
             commit();
         }
@@ -554,6 +561,7 @@
     /** Schedules one placement pass for all events of the current loop iteration. */
     @Override
     public void requestPass() {
+        mPassRequestedMillis = Math.min(mPassRequestedMillis, mLoop.nowMillis());
         if (mReady && mOpen && !mPassScheduled) {
             mPassScheduled = true;
             mLoop.schedule(
@@ -570,6 +578,10 @@
             return;
         }
         if (!mWriter.isBusy()) {
+            if (mPassRequestedMillis != Long.MAX_VALUE) {
+                mPlacementMonitor.passStarted(mLoop.nowMillis() - mPassRequestedMillis);
+                mPassRequestedMillis = Long.MAX_VALUE;
+            }
             for (Run run : mScheduler.place(mWorkers.all(), mLoop)) {
                 attach(run);
                 mUncommittedStarts.add(run);
@@ -689,6 +701,7 @@
                         run.attempt,
                         run.worker.id(),
                         run.worker.incarnationStartWallMillis());
+                mPlacementMonitor.orderSent(mLoop.nowMillis() - run.placedMillis);
                 mOrders.sent(run.worker.id());
                 run.worker.start(run);
             } else if (run.task.run == run) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Job.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Job.java
@@ -2,6 +2,7 @@
 
 import java.util.function.Consumer;
 import org.hornbeamward.dispatch.config.QueueConfig;
+import org.hornbeamward.dispatch.decide.JobOrder;
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.dispatch.job.JobSpec;
 import org.hornbeamward.dispatch.job.Submission;
@@ -31,6 +32,9 @@
     /** Monotonic time at which the final phase was committed or loaded. */
     public long endedMillis;
 
+    /** Tier of the job in the last placement pass, apart from its interrupted tasks. */
+    public JobOrder.Tier tier = JobOrder.Tier.IN_TIME;
+
     private final Step[][] mSteps;
 
     Job(Submission submission, @Nullable QueueConfig queue) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
@@ -16,6 +16,13 @@
         0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30
     };
 
+    /** Bucket bounds of the duration of a placement pass, most of which take microseconds. */
+    private static final double[] PASS_BOUNDS_SECONDS = {
+        0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1
+    };
+
+    private static final double NANOS_PER_SECOND = 1_000_000_000.0;
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     private final PrometheusRegistry mRegistry = new PrometheusRegistry();
@@ -27,6 +34,13 @@
     private final Histogram mJobs;
     private final Histogram mCalls;
     private final Histogram mLoopDelay;
+    private final Histogram mPassRanking;
+    private final Histogram mPassPlacing;
+    private final Histogram mPassDelay;
+    private final Histogram mMoveChecks;
+    private final Counter mPassWorkers;
+    private final Counter mPassStarts;
+    private final Histogram mOrderDelay;
 
     /** Creates the metrics, all at zero. */
     public NodeMetrics() {
@@ -39,6 +53,33 @@
         mJobs = histogram("hornbeamward_job_seconds", "acceptance to the final phase");
         mCalls = histogram("hornbeamward_call_seconds", "calls to workers, without their wait");
         mLoopDelay = histogram("hornbeamward_loop_delay_seconds", "lateness of the event loop");
+        mPassRanking =
+                histogram(
+                        "hornbeamward_pass_ranking_seconds",
+                        "time to order the jobs in a placement pass",
+                        PASS_BOUNDS_SECONDS);
+        mPassPlacing =
+                histogram(
+                        "hornbeamward_pass_placing_seconds",
+                        "time to choose workers in a placement pass",
+                        PASS_BOUNDS_SECONDS);
+        mPassDelay =
+                histogram(
+                        "hornbeamward_pass_delay_seconds",
+                        "request of a placement pass to its start");
+        mMoveChecks =
+                histogram(
+                        "hornbeamward_move_check_seconds",
+                        "time to look for a better worker for a run",
+                        PASS_BOUNDS_SECONDS);
+        mPassWorkers = counter("hornbeamward_pass_workers", "workers looked at for tasks");
+        mPassStarts = counter("hornbeamward_pass_starts", "tasks placed");
+        mOrderDelay =
+                histogram("hornbeamward_order_delay_seconds", "placement of a task to its order");
+    }
+
+    private Counter counter(String name, String help) {
+        return Counter.builder().name(name).help(help).register(mRegistry);
     }
 
     private Counter counter(String name, String help, String label) {
@@ -46,11 +87,15 @@
     }
 
     private Histogram histogram(String name, String help) {
+        return histogram(name, help, BOUNDS_SECONDS);
+    }
+
+    private Histogram histogram(String name, String help, double[] boundsSeconds) {
         return Histogram.builder()
                 .name(name)
                 .help(help)
                 .classicOnly()
-                .classicUpperBounds(BOUNDS_SECONDS)
+                .classicUpperBounds(boundsSeconds)
                 .register(mRegistry);
     }
 
@@ -134,6 +179,49 @@
         mLoopDelay.observe(millis / MILLIS_PER_SECOND);
     }
 
+    /**
+     * Records a placement pass.
+     *
+     * @param rankingNanos time to order the jobs
+     * @param placingNanos time to choose workers
+     * @param lookedAtCount number of workers looked at, once for each task
+     * @param startCount number of tasks placed
+     */
+    public void recordPass(
+            long rankingNanos, long placingNanos, long lookedAtCount, int startCount) {
+        mPassRanking.observe(rankingNanos / NANOS_PER_SECOND);
+        mPassPlacing.observe(placingNanos / NANOS_PER_SECOND);
+        mPassWorkers.inc(lookedAtCount);
+        mPassStarts.inc(startCount);
+    }
+
+    /**
+     * Records a search for a worker to which a run could move.
+     *
+     * @param nanos time that it took
+     */
+    public void recordMoveCheck(long nanos) {
+        mMoveChecks.observe(nanos / NANOS_PER_SECOND);
+    }
+
+    /**
+     * Records how long a placement pass was delayed, such as by a commit in flight.
+     *
+     * @param millis time since it was requested
+     */
+    public void recordPassDelay(long millis) {
+        mPassDelay.observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Records how long a start order waited for its commit and for earlier orders.
+     *
+     * @param millis time since the task was placed
+     */
+    public void recordOrderDelay(long millis) {
+        mOrderDelay.observe(millis / MILLIS_PER_SECOND);
+    }
+
     /**
      * Returns the registry, for an exposition.
      *
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/OrderQueue.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/OrderQueue.java
@@ -44,6 +44,11 @@
         return mWaitingToResume.isEmpty() && mWaiting.isEmpty();
     }
 
+    /** Returns the number of orders that are not sent yet. */
+    int size() {
+        return mWaitingToResume.size() + mWaiting.size();
+    }
+
     /** Removes and returns the first run whose order may be sent now; null if there is none. */
     @Nullable Run take() {
         if (mInFlightCount >= MAX_IN_FLIGHT_COUNT) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -44,6 +44,11 @@
      */
     public boolean orderedWithoutContact;
 
+    /**
+     * Monotonic time at which the leader chose the worker; for an inherited run, of its takeover.
+     */
+    public final long placedMillis;
+
     /** Monotonic time at which the worker first confirmed that the run is present. */
     public long confirmedMillis;
 
@@ -114,6 +119,7 @@
         this.worker = worker;
         this.ticket = ticket;
         checkpoint = task.checkpoint.value();
+        placedMillis = worker.nowMillis();
     }
 
     /**
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -18,6 +18,7 @@
 import org.hornbeamward.dispatch.decide.Placement.Demand;
 import org.hornbeamward.dispatch.job.StepSpec;
 import org.hornbeamward.dispatch.port.Loop;
+import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.lib.FailureDomainId;
 import org.jspecify.annotations.Nullable;
 
@@ -37,12 +38,15 @@
 
     private final JobTable mJobs;
     private final FillerController mFillerController;
+    private final PlacementMonitor mMonitor;
+    private final WaitingTasks mWaitingTasks = new WaitingTasks();
     private Set<FailureDomainId> mDomainsOut = Set.of();
     private @Nullable ClusterConfig mConfig;
 
-    Scheduler(JobTable jobs, FillerController fillerController) {
+    Scheduler(JobTable jobs, FillerController fillerController, PlacementMonitor monitor) {
         mJobs = jobs;
         mFillerController = fillerController;
+        mMonitor = monitor;
     }
 
     void configure(ClusterConfig config) {
@@ -71,6 +75,7 @@
         private final Set<Task> mPlaced = new HashSet<>();
         private final Map<WorkerSession, WorkerCandidate> mCandidates = new HashMap<>();
         private final Map<Demand.Kind, List<Demand>> mUnplaced = new HashMap<>();
+        private long mLookedAtCount;
 
         Pass(long nowMillis) {
             mNowMillis = nowMillis;
@@ -121,7 +126,9 @@
             return List.of();
         }
         long nowWallMillis = loop.wallMillis();
+        long startNanos = System.nanoTime();
         List<RankedJob> ranked = rank(nowWallMillis, loop.nowMillis());
+        long rankedNanos = System.nanoTime();
         if (ranked.isEmpty()) {
             return List.of();
         }
@@ -134,6 +141,12 @@
                 placeJob(pass, entry.job(), nowWallMillis, loop.nowMillis());
             }
         }
+        mMonitor.passEnded(
+                rankedNanos - startNanos,
+                System.nanoTime() - rankedNanos,
+                pass.mLookedAtCount,
+                pass.mRuns.size());
+        mWaitingTasks.logIfDue(loop.nowMillis(), () -> candidates(pass));
         return pass.mRuns;
     }
 
@@ -170,7 +183,9 @@
             if (job.terminal() || queue == null) {
                 continue;
             }
-            ranked.add(new RankedJob(job, sortKey(job, queue, nowWallMillis, false, demand)));
+            JobOrder.SortKey key = sortKey(job, queue, nowWallMillis, false, demand);
+            noteTier(job, key, nowWallMillis, nowMillis);
+            ranked.add(new RankedJob(job, key));
             if (hasInterruptedTask(job, nowMillis)) {
                 ranked.add(new RankedJob(job, sortKey(job, queue, nowWallMillis, true, demand)));
             }
@@ -180,6 +195,45 @@
         return ranked;
     }
 
+    /** Logs that a job has become late, or worth nothing any more. */
+    private static void noteTier(
+            Job job, JobOrder.SortKey key, long nowWallMillis, long nowMillis) {
+        JobOrder.Tier tier = JobOrder.tier(key, nowWallMillis);
+        if (tier == job.tier) {
+            return;
+        }
+        job.tier = tier;
+        if (tier != JobOrder.Tier.LATE && tier != JobOrder.Tier.WORTHLESS) {
+            return;
+        }
+        int taskCount = 0;
+        int doneCount = 0;
+        int readyCount = 0;
+        int startCount = 0;
+        int failureCount = 0;
+        for (Step step : job.steps(0)) {
+            boolean ready = job.dependenciesDone(step);
+            taskCount += step.tasks.length;
+            doneCount += step.doneCount;
+            for (Task task : step.tasks) {
+                readyCount += ready && task.waiting() && task.notBeforeMillis <= nowMillis ? 1 : 0;
+                startCount += task.lastAttempt;
+                failureCount += task.failureCount;
+            }
+        }
+        LogEvent.JOB_LATE.log(
+                job.submission.job(),
+                tier,
+                nowWallMillis - key.releaseWallMillis(),
+                key.objectiveMillis(),
+                doneCount,
+                taskCount,
+                job.liveRunCount,
+                readyCount,
+                startCount,
+                failureCount);
+    }
+
     private static boolean hasInterruptedTask(Job job, long nowMillis) {
         if (!job.spec().longRunning()) {
             return false;
@@ -316,6 +370,7 @@
                 long waitedMillis = nowMillis - task.waitingSinceMillis;
                 Run run = placeTask(pass, task, task.lastAttempt + 1, "", waitedMillis);
                 if (run == null) {
+                    mWaitingTasks.add(task, waitedMillis, filter);
                     return;
                 }
                 addRun(pass, run);
@@ -372,6 +427,7 @@
         if (pass.isKnownUnplaceable(demand)) {
             return null;
         }
+        pass.mLookedAtCount += pass.mUsableWorkers.size();
         Optional<WorkerCandidate> chosen =
                 Placement.choose(
                         demand, candidates(pass), candidate -> candidate.sameStepCount(step));
@@ -410,6 +466,13 @@
      * @param workers all workers
      */
     boolean hasBetterPlacement(Run run, Collection<WorkerSession> workers) {
+        long startNanos = System.nanoTime();
+        boolean found = findsBetterPlacement(run, workers);
+        mMonitor.moveSearched(System.nanoTime() - startNanos);
+        return found;
+    }
+
+    private boolean findsBetterPlacement(Run run, Collection<WorkerSession> workers) {
         Pass pass = newPass(workers, run.worker.nowMillis());
         pass.mUsableWorkers.remove(run.worker);
         Run moved = placeTask(pass, run.task, run.attempt + 1, "", 0);
@@ -431,9 +494,11 @@
      * @param workers all workers
      */
     boolean hasHealthyPlacement(Run run, Collection<WorkerSession> workers) {
+        long startNanos = System.nanoTime();
         Pass pass = newPass(workers, run.worker.nowMillis());
         pass.mUsableWorkers.remove(run.worker);
         Run moved = placeTask(pass, run.task, run.attempt + 1, "", 0);
+        mMonitor.moveSearched(System.nanoTime() - startNanos);
         return moved != null && moved.worker.suspicion() == 0;
     }
 
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -124,6 +124,28 @@
             525,
             Level.WARN,
             "calls to workers within {} ms: {} answered, up to {} ms late, {} not; {} in flight"),
+    /** Tasks of one kind are ready to start and find no worker. */
+    TASKS_WAITING(
+            526,
+            Level.WARN,
+            "{} {} tasks of {} jobs wait for a worker; the first one, of job {}, waits {} ms and"
+                    + " needs {}; the largest free room is {}, {} of {} usable workers have enough"
+                    + " processors and {} enough memory, {} are suspected; of {} millicores {} are"
+                    + " free, {} reserved by long-running tasks and {} by others"),
+    /** A job that has not ended can no longer meet its objective, or is worth nothing any more. */
+    JOB_LATE(
+            527,
+            Level.WARN,
+            "job {} is {} after {} ms of {}: {} of {} tasks done, {} at work, {} ready to start,"
+                    + " {} starts, {} failed"),
+    /** The work of the leader's placement in the last second. */
+    PLACEMENT_WORK(
+            528,
+            Level.INFO,
+            "placement within {} ms: {} passes, {} us ranking, {} us placing {} tasks by looking at"
+                    + " {} workers, {} us in {} searches for moves; the longest pass took {} us and"
+                    + " was requested up to {} ms before; {} orders sent up to {} ms after"
+                    + " placement, {} waiting"),
     /** Ended jobs are removed from the store. */
     JOBS_FORGOTTEN(521, Level.INFO, "{} ended jobs are removed from the store: {}"),
     /** An instance list cannot be used and was ignored. */
