Keep the room for short jobs in one piece

Cause: a tenth of each worker was kept for short jobs, and all tasks that reserve processors were spread. A task needs its processors on one worker; the tenth of 16 cores is 1.6, and a task takes 3 on average and up to 9. The fault: a quantity that is handed out in indivisible pieces was reserved as a sum.

Change: long-running tasks may reserve nine tenths of the pool, and tasks that reserve processors go to the worker on which they leave the least room. Room on one worker for twice the task is no exception any more, since kept room is always that large; a long-running task takes it after a second, as before with room on two workers. The users count it as lost after three.

The choice between two workers that both have the kept room is now the one with less room.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
@@ -14,8 +14,10 @@
 /**
  * Chooses the worker for a task. Load pattern: serving tasks reserve most of the processors and use
  * about half of them; fillers use the rest and raise the tail latency of the serving tasks beside
- * them; short tasks need processors that are not reserved. All kinds of tasks are spread, and
- * fillers are kept away from serving tasks that they interfere with.
+ * them; short tasks need processors that are not reserved. A task needs all its processors on one
+ * worker, so tasks that reserve processors go where they leave the least room, and the room that is
+ * free stays in pieces that are large enough for further tasks. Fillers are spread, and kept away
+ * from serving tasks that they interfere with.
  */
 public final class Placement {
     /** Weight of a rack on which the task is slow, relative to the used share of a worker. */
@@ -38,15 +40,16 @@
     private static final double LONG_RUNNING_USE = 0.5;
 
     /**
-     * Share of a worker's processors that long-running tasks may reserve. The rest is kept for
-     * short jobs, which earn several times as much per core.
+     * Share of a pool's processors that long-running tasks may reserve. The rest is kept for short
+     * jobs, which earn several times as much per core. It is a share of the pool, since a tenth of
+     * each worker is less than what a task needs.
      */
     private static final double MAX_LONG_RUNNING_SHARE = 0.9;
 
     /**
      * How long a long-running task must wait before it may take the room kept for short jobs. It
-     * may take it only if at least two workers have room. The users count a long-running task as
-     * lost after three seconds.
+     * may take it only if there is room for it twice. The users count a long-running task as lost
+     * that waits three seconds beside such room.
      */
     private static final long SHORT_JOB_ROOM_WAIT_MILLIS = 1_000;
 
@@ -186,12 +189,13 @@
             }
         }
         StepSpec step = demand.step();
-        if (step.longRunning() && !step.filler() && !demand.interrupted()) {
-            List<C> leavingRoom =
-                    eligible.stream().filter(candidate -> leavesRoom(step, candidate)).toList();
-            boolean mustWait =
-                    eligible.size() < 2 || demand.waitedMillis() < SHORT_JOB_ROOM_WAIT_MILLIS;
-            eligible = leavingRoom.isEmpty() && !mustWait ? eligible : leavingRoom;
+        if (step.longRunning()
+                && !step.filler()
+                && !demand.interrupted()
+                && !leavesShortJobRoom(demand, candidates)
+                && (demand.waitedMillis() < SHORT_JOB_ROOM_WAIT_MILLIS
+                        || !isRoomTwice(step, eligible))) {
+            return Optional.empty();
         }
         return eligible.stream()
                 .min(Comparator.comparingDouble(candidate -> cost(demand, candidate)));
@@ -211,11 +215,18 @@
      */
     public static <C extends Candidate> Optional<C> chooseToKeepFree(
             Demand demand, Iterable<C> candidates, ToIntFunction<C> sameStepCount) {
+        if (!leavesShortJobRoom(demand, candidates)) {
+            return Optional.empty();
+        }
+        StepSpec step = demand.step();
         List<C> suitable = new ArrayList<>();
         for (C candidate : candidates) {
-            if (demand.step().reservation().fitsIn(candidate.entry().capacity())
+            Resources capacity = candidate.entry().capacity();
+            long longRunningMillicores =
+                    candidate.longRunningCpuMillicores() + step.size().cpuMillicores();
+            if (step.reservation().fitsIn(capacity)
                     && isSuitable(demand, candidate, sameStepCount)
-                    && leavesShare(demand.step(), candidate)) {
+                    && longRunningMillicores <= capacity.cpuMillicores()) {
                 suitable.add(candidate);
             }
         }
@@ -226,15 +237,17 @@
     /** Returns whether a worker can run a task, apart from the capacity that is free now. */
     private static <C extends Candidate> boolean isSuitable(
             Demand demand, C candidate, ToIntFunction<C> sameStepCount) {
-        StepSpec step = demand.step();
+        int limit = demand.step().maxPerWorker();
+        return isInPool(demand, candidate)
+                && (limit == 0 || sameStepCount.applyAsInt(candidate) < limit);
+    }
+
+    /** Returns whether a worker belongs to the pool and has the label that a task requires. */
+    private static boolean isInPool(Demand demand, Candidate candidate) {
         WorkerEntry entry = candidate.entry();
-        if (!entry.pool().equals(demand.pool())
-                || !(step.requiredLabel().isEmpty()
-                        || entry.labels().contains(step.requiredLabel()))) {
-            return false;
-        }
-        return step.maxPerWorker() == 0
-                || sameStepCount.applyAsInt(candidate) < step.maxPerWorker();
+        String label = demand.step().requiredLabel();
+        return entry.pool().equals(demand.pool())
+                && (label.isEmpty() || entry.labels().contains(label));
     }
 
     private static <C extends Candidate> boolean isEligible(
@@ -253,14 +266,27 @@
         return unusedCpu(candidate) >= MIN_UNUSED_SHARE * step.size().cpuMillicores();
     }
 
-    /** Returns whether a worker has room for short tasks beside a new long-running one. */
-    private static boolean leavesRoom(StepSpec step, Candidate candidate) {
-        return leavesShare(step, candidate) || step.size().times(2).fitsIn(candidate.free());
+    /**
+     * Returns whether a further long-running task leaves the share of the processors that is kept
+     * for short jobs, on the workers that could run the task if they were empty.
+     */
+    private static boolean leavesShortJobRoom(
+            Demand demand, Iterable<? extends Candidate> candidates) {
+        long capacityMillicores = 0;
+        long longRunningMillicores = demand.step().size().cpuMillicores();
+        for (Candidate candidate : candidates) {
+            if (isInPool(demand, candidate)) {
+                capacityMillicores += candidate.entry().capacity().cpuMillicores();
+                longRunningMillicores += candidate.longRunningCpuMillicores();
+            }
+        }
+        return longRunningMillicores <= MAX_LONG_RUNNING_SHARE * capacityMillicores;
     }
 
-    private static boolean leavesShare(StepSpec step, Candidate candidate) {
-        double limit = MAX_LONG_RUNNING_SHARE * candidate.entry().capacity().cpuMillicores();
-        return candidate.longRunningCpuMillicores() + step.size().cpuMillicores() <= limit;
+    private static boolean isRoomTwice(StepSpec step, List<? extends Candidate> eligible) {
+        return eligible.size() >= 2
+                || eligible.stream()
+                        .anyMatch(candidate -> step.size().times(2).fitsIn(candidate.free()));
     }
 
     /** Returns the processors that are expected to stay unused with all fillers at full pace. */
@@ -270,11 +296,25 @@
                 - candidate.fillerCpuMillicores();
     }
 
+    /** Returns the share of the processors that are used with a filler, others at full pace. */
+    private static double usedShare(StepSpec filler, Candidate candidate) {
+        double capacity = candidate.entry().capacity().cpuMillicores();
+        return 1.0 - (unusedCpu(candidate) - filler.size().cpuMillicores()) / capacity;
+    }
+
+    /** Returns the share of the scarcer resource that stays free beside a task. */
+    private static double remainingShare(StepSpec step, Candidate candidate) {
+        Resources capacity = candidate.entry().capacity();
+        Resources remaining = candidate.free().minus(step.reservation());
+        return Math.min(
+                (double) remaining.cpuMillicores() / Math.max(1, capacity.cpuMillicores()),
+                (double) remaining.memoryMib() / Math.max(1, capacity.memoryMib()));
+    }
+
     private static double cost(Demand demand, Candidate candidate) {
         StepSpec step = demand.step();
-        double capacity = candidate.entry().capacity().cpuMillicores();
-        double used = 1.0 - (unusedCpu(candidate) - step.size().cpuMillicores()) / capacity;
-        double cost = used + SUSPECT_WEIGHT * candidate.suspicion();
+        double cost = step.filler() ? usedShare(step, candidate) : remainingShare(step, candidate);
+        cost += SUSPECT_WEIGHT * candidate.suspicion();
         if (candidate.entry().id().equals(demand.failedOn())) {
             cost += SUSPECT_WEIGHT;
         }
