Decide again only where something has changed

Cause: each pass, about 100 a second, compared each waiting task with each of 258 workers anew, and built the description of the tasks that share a worker for each of them; each answered poll, several hundred a second, did the same for each slow filler. The fault: work whose result cannot have changed is repeated at the rate of unrelated events, so that it grows with tasks times workers.

Change: the description of a worker's tasks is kept until a run, a pace or a report changes it, and its last evaluation until another step is asked for. Tasks that need more than the largest room are not compared at all. A run is searched a better worker at most every half second, the time that a load report covers. The cost of a candidate is computed once. A commit polls only workers whose ends it has stored.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
@@ -35,6 +35,7 @@
     final VirtualLoop mLoop = new VirtualLoop();
     final FakeStore mStore = new FakeStore(mLoop);
     final FakeWorkers mWorkers = new FakeWorkers(mLoop);
+    final NodeMetrics mMetrics = new NodeMetrics();
     final Map<JobId, JobPhase> mPhases = new HashMap<>();
     private final List<WorkerEntry> mOddEntries = new ArrayList<>();
 
@@ -89,7 +90,7 @@
                         },
                         new DispatchLimits(
                                 mWorkers.get("w1").longestLeaseMillis, 200, 120_000, 1.0, 1_000),
-                        new NodeMetrics(),
+                        mMetrics,
                         epoch,
                         former,
                         reason -> {});
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Neighbors.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Neighbors.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.hornbeamward.dispatch.job.StepSpec;
+import org.jspecify.annotations.Nullable;
 
 /** The serving tasks and fillers of a worker, as they affect the placement of another task. */
 public final class Neighbors {
@@ -37,6 +38,12 @@
      */
     private final Map<String, List<Double>> mMargins = new HashMap<>();
 
+    /** The filler evaluated last; the tasks of a step are placed one after another. */
+    private @Nullable StepSpec mEvaluated;
+
+    private double mInterference;
+    private boolean mHarmed;
+
     /**
      * A serving task.
      *
@@ -76,6 +83,19 @@
      *     that the filler takes where it would have to be slowed down
      */
     public double interference(StepSpec filler) {
+        evaluate(filler);
+        return mInterference;
+    }
+
+    private void evaluate(StepSpec filler) {
+        if (filler != mEvaluated) {
+            mEvaluated = filler;
+            mInterference = computeInterference(filler);
+            mHarmed = computeHarmed(filler);
+        }
+    }
+
+    private double computeInterference(StepSpec filler) {
         double addedMisses = 0;
         double slowdown = 0;
         for (Map.Entry<String, List<Double>> margins : mMargins.entrySet()) {
@@ -100,6 +120,11 @@
      * @return true if a serving task of the worker lacks the headroom
      */
     public boolean isHarmedBy(StepSpec filler) {
+        evaluate(filler);
+        return mHarmed;
+    }
+
+    private boolean computeHarmed(StepSpec filler) {
         for (Map.Entry<String, List<Double>> margins : mMargins.entrySet()) {
             double cost = headroomCost(margins.getKey(), filler);
             if (cost > NEGLIGIBLE_COST
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
@@ -182,23 +182,29 @@
      */
     public static <C extends Candidate> Optional<C> choose(
             Demand demand, Iterable<C> candidates, ToIntFunction<C> sameStepCount) {
-        List<C> eligible = new ArrayList<>();
+        StepSpec step = demand.step();
+        boolean keepsRoom =
+                step.longRunning()
+                        && !step.filler()
+                        && !demand.interrupted()
+                        && !leavesShortJobRoom(demand, candidates);
+        if (keepsRoom && demand.waitedMillis() < SHORT_JOB_ROOM_WAIT_MILLIS) {
+            return Optional.empty();
+        }
+        C best = null;
+        double bestCost = Double.POSITIVE_INFINITY;
+        int roomCount = 0;
         for (C candidate : candidates) {
             if (isEligible(demand, candidate, sameStepCount)) {
-                eligible.add(candidate);
+                roomCount += step.size().times(2).fitsIn(candidate.free()) ? 2 : 1;
+                double cost = cost(demand, candidate);
+                if (cost < bestCost) {
+                    best = candidate;
+                    bestCost = cost;
+                }
             }
         }
-        StepSpec step = demand.step();
-        if (step.longRunning()
-                && !step.filler()
-                && !demand.interrupted()
-                && !leavesShortJobRoom(demand, candidates)
-                && (demand.waitedMillis() < SHORT_JOB_ROOM_WAIT_MILLIS
-                        || !isRoomTwice(step, eligible))) {
-            return Optional.empty();
-        }
-        return eligible.stream()
-                .min(Comparator.comparingDouble(candidate -> cost(demand, candidate)));
+        return keepsRoom && roomCount < 2 ? Optional.empty() : Optional.ofNullable(best);
     }
 
     /**
@@ -260,10 +266,9 @@
         if (!step.filler()) {
             return true;
         }
-        if (demand.waitedMillis() < HARMLESS_WORKER_WAIT_MILLIS && candidate.isHarmedBy(step)) {
-            return false;
-        }
-        return unusedCpu(candidate) >= MIN_UNUSED_SHARE * step.size().cpuMillicores();
+        return unusedCpu(candidate) >= MIN_UNUSED_SHARE * step.size().cpuMillicores()
+                && (demand.waitedMillis() >= HARMLESS_WORKER_WAIT_MILLIS
+                        || !candidate.isHarmedBy(step));
     }
 
     /**
@@ -283,12 +288,6 @@
         return longRunningMillicores <= MAX_LONG_RUNNING_SHARE * capacityMillicores;
     }
 
-    private static boolean isRoomTwice(StepSpec step, List<? extends Candidate> eligible) {
-        return eligible.size() >= 2
-                || eligible.stream()
-                        .anyMatch(candidate -> step.size().times(2).fitsIn(candidate.free()));
-    }
-
     /** Returns the processors that are expected to stay unused with all fillers at full pace. */
     private static double unusedCpu(Candidate candidate) {
         return candidate.free().cpuMillicores()
@@ -298,7 +297,7 @@
 
     /** Returns the share of the processors that are used with a filler, others at full pace. */
     private static double usedShare(StepSpec filler, Candidate candidate) {
-        double capacity = candidate.entry().capacity().cpuMillicores();
+        double capacity = Math.max(1, candidate.entry().capacity().cpuMillicores());
         return 1.0 - (unusedCpu(candidate) - filler.size().cpuMillicores()) / capacity;
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -92,6 +92,12 @@
      */
     private static final int MAX_JOB_REMOVALS = 1_000;
 
+    /**
+     * Minimum time between two searches for a better worker for the same run. Workers report loads
+     * as averages over half a second; polls are answered far more often while tasks end.
+     */
+    private static final long MOVE_SEARCH_INTERVAL_MILLIS = 500;
+
     /** Largest number of progress records that one commit removes, so that it stays small. */
     private static final int MAX_PROGRESS_REMOVALS = 500;
 
@@ -997,7 +1003,7 @@
     public void polled(WorkerSession worker) {
         mFillerController.learnAndPace(worker);
         for (Run run : mFillerController.movableFillers(worker)) {
-            if (mScheduler.hasBetterPlacement(run, mWorkers.all())) {
+            if (isMoveSearchDue(run) && mScheduler.hasBetterPlacement(run, mWorkers.all())) {
                 LogEvent.FILLER_MOVED.log(run, run.pacePercent);
                 run.task.moveCount++;
                 worker.stop(run);
@@ -1005,13 +1011,26 @@
         }
         for (Run run :
                 mSlowRunDetector.observe(
-                        worker, slow -> mScheduler.hasHealthyPlacement(slow, mWorkers.all()))) {
+                        worker,
+                        slow ->
+                                isMoveSearchDue(slow)
+                                        && mScheduler.hasHealthyPlacement(slow, mWorkers.all()))) {
             LogEvent.SLOW_RUN_MOVED.log(run, run.reportedProgressPercent);
             run.task.moveCount++;
             worker.stop(run);
         }
     }
 
+    private boolean isMoveSearchDue(Run run) {
+        long now = mLoop.nowMillis();
+        if (run.moveSearchedMillis != Run.NEVER
+                && now - run.moveSearchedMillis < MOVE_SEARCH_INTERVAL_MILLIS) {
+            return false;
+        }
+        run.moveSearchedMillis = now;
+        return true;
+    }
+
     /**
      * Stops the long-running tasks of a draining worker, and the checkpointing tasks that cannot
      * finish before it leaves, so that they resume on other workers.
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -86,6 +86,9 @@
      */
     public long lowPaceSinceMillis = Long.MAX_VALUE;
 
+    /** Monotonic time at which a better worker was last looked for; {@link #NEVER} if never. */
+    public long moveSearchedMillis = NEVER;
+
     /**
      * Monotonic time since which the task's tail latency has been above its target; {@code
      * Long.MAX_VALUE} if it is not.
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -20,6 +20,7 @@
 import org.hornbeamward.dispatch.port.Loop;
 import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.lib.FailureDomainId;
+import org.hornbeamward.lib.Resources;
 import org.jspecify.annotations.Nullable;
 
 /** Places the waiting tasks on workers, job by job in the order of {@link JobOrder}. */
@@ -70,11 +71,12 @@
     /** The state of one placement pass: usable workers, new runs and demands without a worker. */
     private final class Pass {
         private final long mNowMillis;
-        private final List<WorkerSession> mUsableWorkers = new ArrayList<>();
+        private final List<WorkerCandidate> mUsableWorkers = new ArrayList<>();
         private final List<Run> mRuns = new ArrayList<>();
         private final Set<Task> mPlaced = new HashSet<>();
         private final Map<WorkerSession, WorkerCandidate> mCandidates = new HashMap<>();
         private final Map<Demand.Kind, List<Demand>> mUnplaced = new HashMap<>();
+        private @Nullable Resources mLargestRoom;
         private long mLookedAtCount;
 
         Pass(long nowMillis) {
@@ -91,11 +93,27 @@
                     worker, key -> new WorkerCandidate(key, mFillerController));
         }
 
+        /** Returns the most that was free on any worker when the pass began, by resource. */
+        private Resources largestRoom() {
+            Resources largest = mLargestRoom;
+            if (largest == null) {
+                largest = Resources.NONE;
+                for (WorkerCandidate candidate : mUsableWorkers) {
+                    largest = largest.max(candidate.free());
+                }
+                mLargestRoom = largest;
+            }
+            return largest;
+        }
+
         /**
-         * Returns whether a demand of the same kind that is no larger and has waited at least as
-         * long has found no worker in this pass.
+         * Returns whether no worker has the room, or a demand of the same kind that is no larger
+         * and has waited at least as long has found no worker in this pass.
          */
         private boolean isKnownUnplaceable(Demand demand) {
+            if (!demand.step().reservation().fitsIn(largestRoom())) {
+                return true;
+            }
             for (Demand unplaced : mUnplaced.getOrDefault(demand.kind(), List.of())) {
                 if (unplaced.step().size().fitsIn(demand.step().size())
                         && (unplaced.interrupted() || !demand.interrupted())
@@ -146,7 +164,7 @@
                 System.nanoTime() - rankedNanos,
                 pass.mLookedAtCount,
                 pass.mRuns.size());
-        mWaitingTasks.logIfDue(loop.nowMillis(), () -> candidates(pass));
+        mWaitingTasks.logIfDue(loop.nowMillis(), pass.mUsableWorkers);
         return pass.mRuns;
     }
 
@@ -169,7 +187,7 @@
         Pass pass = new Pass(nowMillis);
         for (WorkerSession worker : workers) {
             if (worker.usable() && !mDomainsOut.contains(worker.entry().domain())) {
-                pass.mUsableWorkers.add(worker);
+                pass.mUsableWorkers.add(pass.candidate(worker));
             }
         }
         return pass;
@@ -349,7 +367,7 @@
         if (queue != null) {
             Placement.chooseToKeepFree(
                             demand(pass, task, queue, "", 0),
-                            candidates(pass),
+                            pass.mUsableWorkers,
                             candidate -> candidate.sameStepCount(task.step))
                     .ifPresent(candidate -> candidate.keepFree(task.step.spec));
         }
@@ -430,7 +448,7 @@
         pass.mLookedAtCount += pass.mUsableWorkers.size();
         Optional<WorkerCandidate> chosen =
                 Placement.choose(
-                        demand, candidates(pass), candidate -> candidate.sameStepCount(step));
+                        demand, pass.mUsableWorkers, candidate -> candidate.sameStepCount(step));
         if (chosen.isEmpty()) {
             pass.recordUnplaced(demand);
             return null;
@@ -450,14 +468,6 @@
                 step.spec.longRunning() && task.interrupted(pass.mNowMillis));
     }
 
-    private static List<WorkerCandidate> candidates(Pass pass) {
-        List<WorkerCandidate> candidates = new ArrayList<>(pass.mUsableWorkers.size());
-        for (WorkerSession worker : pass.mUsableWorkers) {
-            candidates.add(pass.candidate(worker));
-        }
-        return candidates;
-    }
-
     /**
      * Returns whether another worker has room for a filler and the filler would interfere much less
      * with the serving tasks there.
@@ -474,7 +484,7 @@
 
     private boolean findsBetterPlacement(Run run, Collection<WorkerSession> workers) {
         Pass pass = newPass(workers, run.worker.nowMillis());
-        pass.mUsableWorkers.remove(run.worker);
+        pass.mUsableWorkers.remove(pass.candidate(run.worker));
         Run moved = placeTask(pass, run.task, run.attempt + 1, "", 0);
         if (moved == null) {
             return false;
@@ -496,7 +506,7 @@
     boolean hasHealthyPlacement(Run run, Collection<WorkerSession> workers) {
         long startNanos = System.nanoTime();
         Pass pass = newPass(workers, run.worker.nowMillis());
-        pass.mUsableWorkers.remove(run.worker);
+        pass.mUsableWorkers.remove(pass.candidate(run.worker));
         Run moved = placeTask(pass, run.task, run.attempt + 1, "", 0);
         mMonitor.moveSearched(System.nanoTime() - startNanos);
         return moved != null && moved.worker.suspicion() == 0;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerCandidate.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerCandidate.java
@@ -18,6 +18,7 @@
     private final long mPresentFillerCpuMillicores;
     private Resources mKeptFree = Resources.NONE;
     private @Nullable Neighbors mNeighbors;
+    private @Nullable Resources mFree;
 
     WorkerCandidate(WorkerSession worker, FillerController fillerController) {
         mWorker = worker;
@@ -31,12 +32,14 @@
 
     void add(Run run) {
         mNeighbors = null;
+        mFree = null;
         mRuns.add(run);
         mUsage.add(run);
     }
 
     void remove(Run run) {
         mNeighbors = null;
+        mFree = null;
         if (mRuns.remove(run)) {
             mUsage.remove(run);
         }
@@ -44,6 +47,7 @@
 
     /** Keeps room free for a long-running task that does not fit yet. */
     void keepFree(StepSpec step) {
+        mFree = null;
         mKeptFree = mKeptFree.plus(step.reservation());
     }
 
@@ -65,7 +69,12 @@
 
     @Override
     public Resources free() {
-        return mWorker.free().minus(mUsage.reserved()).minus(mKeptFree);
+        Resources free = mFree;
+        if (free == null) {
+            free = mWorker.free().minus(mUsage.reserved()).minus(mKeptFree);
+            mFree = free;
+        }
+        return free;
     }
 
     @Override
@@ -82,7 +91,10 @@
 
     Neighbors neighbors() {
         Neighbors neighbors = mNeighbors;
-        if (neighbors == null) {
+        if (neighbors == null && mRuns.isEmpty()) {
+            neighbors = mWorker.neighbors(mFillerController);
+            mNeighbors = neighbors;
+        } else if (neighbors == null) {
             List<Run> runs = new ArrayList<>(mWorker.runs());
             runs.addAll(mRuns);
             neighbors = mFillerController.neighbors(runs);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -13,6 +13,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
+import org.hornbeamward.dispatch.decide.Neighbors;
 import org.hornbeamward.dispatch.decide.RunSpeed;
 import org.hornbeamward.dispatch.job.StepSpec;
 import org.hornbeamward.dispatch.job.TaskName;
@@ -26,6 +27,7 @@
 import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.lib.Resources;
 import org.hornbeamward.lib.WorkerId;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The leader's session with one incarnation of a worker: its runs, leases, polls and orders. A poll
@@ -207,6 +209,15 @@
     /** Number of failed runs since the last completed one. */
     public int failureStreak;
 
+    /**
+     * The tasks that share the worker, as of the last change or report; null if they have to be
+     * determined anew. Each pass compares each filler with all workers.
+     */
+    private @Nullable Neighbors mNeighbors;
+
+    /** CPU that the fillers request at their present paces; negative if it has to be summed up. */
+    private long mPacedFillerCpuMillicores = -1;
+
     private final Map<TaskName, SpeedSample> mSpeeds = new LinkedHashMap<>();
     private long mSlowMillis = NEVER_SLOW;
     private boolean mClosed;
@@ -291,8 +302,34 @@
         return mEntry.capacity().minus(mUsage.reserved());
     }
 
+    /**
+     * Returns the tasks that share the worker, for the decision to place another one there.
+     *
+     * @param controller knows how the tasks affect each other
+     */
+    Neighbors neighbors(FillerController controller) {
+        Neighbors neighbors = mNeighbors;
+        if (neighbors == null) {
+            neighbors = controller.neighbors(mRuns.values());
+            mNeighbors = neighbors;
+        }
+        return neighbors;
+    }
+
+    private void runsChanged() {
+        mNeighbors = null;
+        mPacedFillerCpuMillicores = -1;
+    }
+
     /** Returns the CPU that the fillers request at their present paces. */
     long pacedFillerCpuMillicores() {
+        if (mPacedFillerCpuMillicores < 0) {
+            mPacedFillerCpuMillicores = sumPacedFillerCpuMillicores();
+        }
+        return mPacedFillerCpuMillicores;
+    }
+
+    private long sumPacedFillerCpuMillicores() {
         long millicores = 0;
         for (Run run : mRuns.values()) {
             StepSpec spec = run.task.step.spec;
@@ -398,12 +435,14 @@
     void add(Run run) {
         mRuns.put(run.task.name, run);
         mUsage.add(run);
+        runsChanged();
     }
 
     /** Removes a run that is gone and releases its resources. */
     void remove(Run run) {
         if (mRuns.remove(run.task.name, run)) {
             mUsage.remove(run);
+            runsChanged();
         }
     }
 
@@ -615,6 +654,7 @@
                             run.paceUncertain = !(outcome instanceof OrderOutcome.Done);
                             if (outcome instanceof OrderOutcome.Done) {
                                 run.pacePercent = percent;
+                                runsChanged();
                             } else {
                                 LogEvent.ORDER_UNANSWERED.log("pace", run, outcome);
                             }
@@ -643,8 +683,10 @@
 
     /** Records that the ends up to a number are stored, so that they may be acknowledged. */
     void endsStored(long endNumber) {
-        mStoredEndNumber = Math.max(mStoredEndNumber, endNumber);
-        poll();
+        if (endNumber > mStoredEndNumber) {
+            mStoredEndNumber = endNumber;
+            poll();
+        }
     }
 
     long seenEndNumber() {
@@ -789,6 +831,7 @@
                 noteClock(seen.clockMillis());
                 noteReached();
                 applyReports(seen, sentMillis);
+                runsChanged();
                 mSupervisor.polled(this);
                 if (mRuns.values().stream().anyMatch(this::isUnresolved)
                         || isAcknowledgementWithheld()) {
--- a/org.hornbeamward/src/org/hornbeamward/lib/Resources.java
+++ b/org.hornbeamward/src/org/hornbeamward/lib/Resources.java
@@ -59,6 +59,19 @@
                 && acceleratorCount <= free.acceleratorCount;
     }
 
+    /**
+     * Returns the larger amount of each resource.
+     *
+     * @param other the other amount
+     * @return the largest amounts
+     */
+    public Resources max(Resources other) {
+        return new Resources(
+                Math.max(cpuMillicores, other.cpuMillicores),
+                Math.max(memoryMib, other.memoryMib),
+                Math.max(acceleratorCount, other.acceleratorCount));
+    }
+
     /**
      * Returns the dominant share: the largest share of a total that this amount takes in any
      * dimension. A dimension in which the total is 0 counts as 0.
