--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -201,11 +201,13 @@
             if (job.terminal() || queue == null) {
                 continue;
             }
-            JobOrder.SortKey key = sortKey(job, queue, nowWallMillis, false, demand);
+            JobOrder.SortKey key = sortKey(job, queue, nowWallMillis, nowMillis, false, demand);
             noteTier(job, key, nowWallMillis, nowMillis);
             ranked.add(new RankedJob(job, key));
             if (hasInterruptedTask(job, nowMillis)) {
-                ranked.add(new RankedJob(job, sortKey(job, queue, nowWallMillis, true, demand)));
+                ranked.add(
+                        new RankedJob(
+                                job, sortKey(job, queue, nowWallMillis, nowMillis, true, demand)));
             }
         }
         Comparator<JobOrder.SortKey> order = JobOrder.at(nowWallMillis);
@@ -293,6 +295,7 @@
             Job job,
             QueueConfig queue,
             long nowWallMillis,
+            long nowMillis,
             boolean interrupted,
             Map<String, Long> demand) {
         long criticalPathMillis = job.spec().criticalPathMillis();
@@ -307,7 +310,7 @@
                 queue.priority(),
                 releaseWallMillis,
                 objectiveMillis,
-                remainingMillis(job),
+                remainingMillis(job, nowMillis),
                 job.spec().longRunning(),
                 interrupted,
                 job.submission.acceptedWallMillis(),
@@ -315,14 +318,14 @@
     }
 
     /**
-     * Returns the summed estimates of the steps of the first occurrence that are not done, at most
-     * the length of the job's critical path.
+     * Returns the summed estimates of the steps of the first occurrence that are not done, without
+     * the time that they have been at work, at most the length of the job's critical path.
      */
-    private long remainingMillis(Job job) {
+    private static long remainingMillis(Job job, long nowMillis) {
         long remainingMillis = 0;
         for (Step step : job.steps(0)) {
             if (!step.done()) {
-                remainingMillis += step.spec.estimateMillis();
+                remainingMillis += step.remainingMillis(nowMillis);
             }
         }
         return Math.min(remainingMillis, job.spec().criticalPathMillis());
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Step.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Step.java
@@ -46,6 +46,27 @@
         return RunSpeed.usualMillis(Arrays.copyOf(others, count));
     }
 
+    /**
+     * Returns the estimated time until the step is done if no task has to wait.
+     *
+     * @param nowMillis monotonic time
+     */
+    long remainingMillis(long nowMillis) {
+        long latestPlacedMillis = Long.MIN_VALUE;
+        for (Task task : tasks) {
+            Run run = task.run;
+            if (task.waiting()) {
+                return spec.estimateMillis();
+            }
+            if (!task.done && run != null) {
+                latestPlacedMillis = Math.max(latestPlacedMillis, run.placedMillis);
+            }
+        }
+        return latestPlacedMillis == Long.MIN_VALUE
+                ? 0
+                : Math.max(0, spec.estimateMillis() - (nowMillis - latestPlacedMillis));
+    }
+
     /** Returns the task that counts the failed runs of a task: the first one of a gang. */
     Task failureCounter(Task task) {
         return spec.gang() ? tasks[0] : task;
