Let long-running tasks take kept room only once it is idle

A long-running task could take the room kept for short jobs a second after it had come to wait, at the first moment in which two workers had room. And the second counted for each task of a step anew, since only the first one without a worker is looked at: the last of 24 tasks could start 24 s late beside idle room.

The time now runs for the step and while there is room for its task twice without a break. The limit of a second stays; callers count a task as lost that waits for three beside such room.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
@@ -530,6 +530,49 @@
         assertEquals(3, mFixture.startedCount());
     }
 
+    /**
+     * Guards against a long-running job whose tasks each wait anew for the room that is kept for
+     * short jobs, so that the last of 24 starts 24 s late.
+     */
+    @Test
+    void theTasksOfALongRunningJobWaitForKeptRoomTogether() {
+        worker("w1").taskMillis = 60_000;
+        worker("w2").taskMillis = 60_000;
+        mFixture.startDispatcher(1);
+        mFixture.submit("first", LeaderFixture.longRunning(2, 3_200));
+        mFixture.mLoop.advance(300);
+        mFixture.submit("second", LeaderFixture.longRunning(12, 100));
+        mFixture.mLoop.advance(900);
+        assertEquals(10, mFixture.runningCount());
+        mFixture.mLoop.advance(1_000);
+        assertEquals(14, mFixture.runningCount());
+    }
+
+    /**
+     * Guards against short jobs that lose the room kept for them in the moment between the end of a
+     * task and the start of the next one.
+     */
+    @Test
+    void aLongRunningTaskTakesKeptRoomOnlyOnceShortJobsLeaveItFree() {
+        worker("w1").taskMillis = 60_000;
+        worker("w2").taskMillis = 60_000;
+        mFixture.startDispatcher(1);
+        mFixture.submit("first", LeaderFixture.longRunning(2, 3_400));
+        mFixture.mLoop.advance(300);
+        worker("w1").taskMillis = 300;
+        worker("w2").taskMillis = 300;
+        mFixture.submit("second", LeaderFixture.longRunning(1, 500));
+        for (int job = 0; job < 12; job++) {
+            mFixture.submit("short" + job, LeaderFixture.step(2, 600));
+            mFixture.mLoop.advance(500);
+        }
+        assertEquals(2 + 2 * 12, mFixture.startedCount());
+        worker("w1").taskMillis = 60_000;
+        worker("w2").taskMillis = 60_000;
+        mFixture.mLoop.advance(2_000);
+        assertEquals(3, mFixture.runningCount());
+    }
+
     /** Guards against a new leader that has to learn again which images interfere. */
     @Test
     void learnedInterferenceOfImagesIsStored() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
@@ -47,9 +47,9 @@
     private static final double MAX_LONG_RUNNING_SHARE = 0.9;
 
     /**
-     * How long a long-running task must wait before it may take the room kept for short jobs. It
-     * may take it only if there is room for it twice. The users count a long-running task as lost
-     * that waits three seconds beside such room.
+     * How long there must have been room for a long-running task twice without a break before it
+     * may take the room kept for short jobs, which leave such breaks while they use it. The users
+     * count a long-running task as lost that waits three seconds beside room for it twice.
      */
     private static final long SHORT_JOB_ROOM_WAIT_MILLIS = 1_000;
 
@@ -130,7 +130,8 @@
      * @param step the step of the task
      * @param pool worker pool
      * @param preferredRack rack on which the task is fast; empty for any
-     * @param waitedMillis how long no worker was found for the task
+     * @param waitedMillis how long no worker was found for the task; for a long-running task that
+     *     is no filler, how long there has been room for it twice meanwhile
      * @param failedOn worker on which it failed last; null if it has not failed
      * @param interrupted whether it is long-running and has been running before, so that it had
      *     room that was not kept for short jobs
@@ -191,12 +192,13 @@
         if (keepsRoom && demand.waitedMillis() < SHORT_JOB_ROOM_WAIT_MILLIS) {
             return Optional.empty();
         }
+        if (keepsRoom && !isRoomTwice(demand, candidates, sameStepCount)) {
+            return Optional.empty();
+        }
         C best = null;
         double bestCost = Double.POSITIVE_INFINITY;
-        int roomCount = 0;
         for (C candidate : candidates) {
             if (isEligible(demand, candidate, sameStepCount)) {
-                roomCount += step.size().times(2).fitsIn(candidate.free()) ? 2 : 1;
                 double cost = cost(demand, candidate);
                 if (cost < bestCost) {
                     best = candidate;
@@ -204,7 +206,31 @@
                 }
             }
         }
-        return keepsRoom && roomCount < 2 ? Optional.empty() : Optional.ofNullable(best);
+        return Optional.ofNullable(best);
+    }
+
+    /**
+     * Returns whether there is room for a task twice, on two workers or on one.
+     *
+     * @param demand task and its requirements
+     * @param candidates workers that accept new tasks
+     * @param sameStepCount number of tasks of the same step on a worker
+     * @param <C> type of the candidates
+     * @return whether the task and another one like it fit
+     */
+    public static <C extends Candidate> boolean isRoomTwice(
+            Demand demand, Iterable<C> candidates, ToIntFunction<C> sameStepCount) {
+        int roomCount = 0;
+        for (C candidate : candidates) {
+            if (isEligible(demand, candidate, sameStepCount)) {
+                boolean twice = demand.step().size().times(2).fitsIn(candidate.free());
+                roomCount += twice ? 2 : 1;
+                if (roomCount >= 2) {
+                    return true;
+                }
+            }
+        }
+        return false;
     }
 
     /**
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -388,10 +388,18 @@
         for (Task task : step.tasks) {
             if (filter.test(task) && !pass.isPlaced(task) && task.notBeforeMillis <= nowMillis) {
                 task.waitingSinceMillis = Math.min(task.waitingSinceMillis, nowMillis);
-                long waitedMillis = nowMillis - task.waitingSinceMillis;
+                boolean keepsRoom = step.spec.longRunning() && !step.spec.filler();
+                long sinceMillis = keepsRoom ? step.roomTwiceSinceMillis : task.waitingSinceMillis;
+                long waitedMillis = nowMillis - Math.min(nowMillis, sinceMillis);
                 Run run = placeTask(pass, task, task.lastAttempt + 1, "", waitedMillis);
                 if (run == null) {
-                    mWaitingTasks.add(task, waitedMillis, filter);
+                    mWaitingTasks.add(task, nowMillis - task.waitingSinceMillis, filter);
+                    if (keepsRoom) {
+                        step.roomTwiceSinceMillis =
+                                isRoomTwice(pass, task)
+                                        ? Math.min(step.roomTwiceSinceMillis, nowMillis)
+                                        : Long.MAX_VALUE;
+                    }
                     return;
                 }
                 addRun(pass, run);
@@ -399,6 +407,16 @@
         }
     }
 
+    private static boolean isRoomTwice(Pass pass, Task task) {
+        QueueConfig queue = task.step.job.queue;
+        return queue != null
+                && task.step.spec.reservation().fitsIn(pass.largestRoom())
+                && Placement.isRoomTwice(
+                        demand(pass, task, queue, "", 0),
+                        pass.mUsableWorkers,
+                        candidate -> candidate.sameStepCount(task.step));
+    }
+
     /** Places all tasks of a gang, or none. */
     private void placeGang(Pass pass, Step step, long nowMillis) {
         int attempt = 0;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Step.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Step.java
@@ -14,6 +14,13 @@
     public final Task[] tasks;
     public int doneCount;
 
+    /**
+     * Monotonic time since which there has been room twice for a task of the step, which is
+     * long-running and waits, because the room is kept for short jobs; {@code Long.MAX_VALUE} if
+     * there is none.
+     */
+    public long roomTwiceSinceMillis = Long.MAX_VALUE;
+
     /**
      * Duration of every task, measured or projected from its progress; 0 if it is not known. It is
      * not stored, so a new leader starts without it.
