Place the long-running tasks of a step apart

Since long-running tasks go where they leave the least room, those of a step were placed on one worker.

A task of the same step on a worker now costs as much as a quarter of the worker left free.

Candidates of a pass are created on demand, since most passes place nothing.

longRunningTasksOfAStepArePlacedApart chose the worker with two tasks of the step before this change.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/PlacementTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/PlacementTest.java
@@ -182,6 +182,24 @@
         assertEquals("none", choose(longRunning, 0, plain("a", 25_600, 0), plain("b", 25_700, 0)));
     }
 
+    /**
+     * Guards against tasks of a step that are placed on one worker, where their loads peak at the
+     * same time and leave nothing to fillers.
+     */
+    @Test
+    void longRunningTasksOfAStepArePlacedApart() {
+        StepSpec longRunning = step(6_400, false, true, "");
+        Placement.Demand demand = new Placement.Demand(longRunning, "pool", "", 0, null, false);
+        Worker sameStep = plain("a", 12_800, 0);
+        Worker otherStep = plain("b", 6_400, 0);
+        List<Worker> workers = List.of(sameStep, otherStep, plain("c", 0, 0));
+        assertEquals(
+                "b",
+                Placement.choose(demand, workers, worker -> worker == sameStep ? 2 : 0)
+                        .map(Worker::name)
+                        .orElse("none"));
+    }
+
     /** Guards against a short task that takes a part of the only room for a large one. */
     @Test
     void aShortTaskGoesWhereItLeavesTheLeastRoom() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
@@ -33,6 +33,13 @@
      */
     private static final double EXCLUSION_WEIGHT = 2.0;
 
+    /**
+     * Weight of each task of the same step on a worker for a long-running task, relative to the
+     * share of the worker that stays free. Tasks of a step share the swings of their load, which
+     * leave fillers beside several of them little time at the peaks.
+     */
+    private static final double SAME_STEP_WEIGHT = 0.25;
+
     /** Weight of a worker on which this task failed last, or that is suspected of failing tasks. */
     private static final double SUSPECT_WEIGHT = 8.0;
 
@@ -200,6 +207,9 @@
         for (C candidate : candidates) {
             if (isEligible(demand, candidate, sameStepCount)) {
                 double cost = cost(demand, candidate);
+                if (step.longRunning() && !step.filler()) {
+                    cost += SAME_STEP_WEIGHT * sameStepCount.applyAsInt(candidate);
+                }
                 if (cost < bestCost) {
                     best = candidate;
                     bestCost = cost;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -71,7 +71,8 @@
     /** The state of one placement pass: usable workers, new runs and demands without a worker. */
     private final class Pass {
         private final long mNowMillis;
-        private final List<WorkerCandidate> mUsableWorkers = new ArrayList<>();
+        private final List<WorkerSession> mUsableWorkers = new ArrayList<>();
+        private @Nullable List<WorkerCandidate> mUsableCandidates;
         private final List<Run> mRuns = new ArrayList<>();
         private final Set<Task> mPlaced = new HashSet<>();
         private final Map<WorkerSession, WorkerCandidate> mCandidates = new HashMap<>();
@@ -93,12 +94,25 @@
                     worker, key -> new WorkerCandidate(key, mFillerController));
         }
 
+        /** Returns the usable workers; most passes place nothing and need no candidates. */
+        private List<WorkerCandidate> candidates() {
+            List<WorkerCandidate> candidates = mUsableCandidates;
+            if (candidates == null) {
+                candidates = new ArrayList<>(mUsableWorkers.size());
+                for (WorkerSession worker : mUsableWorkers) {
+                    candidates.add(candidate(worker));
+                }
+                mUsableCandidates = candidates;
+            }
+            return candidates;
+        }
+
         /** Returns the most that was free on any worker when the pass began, by resource. */
         private Resources largestRoom() {
             Resources largest = mLargestRoom;
             if (largest == null) {
                 largest = Resources.NONE;
-                for (WorkerCandidate candidate : mUsableWorkers) {
+                for (WorkerCandidate candidate : candidates()) {
                     largest = largest.max(candidate.free());
                 }
                 mLargestRoom = largest;
@@ -164,7 +178,7 @@
                 System.nanoTime() - rankedNanos,
                 pass.mLookedAtCount,
                 pass.mRuns.size());
-        mWaitingTasks.logIfDue(loop.nowMillis(), pass.mUsableWorkers);
+        mWaitingTasks.logIfDue(loop.nowMillis(), pass::candidates);
         return pass.mRuns;
     }
 
@@ -187,7 +201,7 @@
         Pass pass = new Pass(nowMillis);
         for (WorkerSession worker : workers) {
             if (worker.usable() && !mDomainsOut.contains(worker.entry().domain())) {
-                pass.mUsableWorkers.add(pass.candidate(worker));
+                pass.mUsableWorkers.add(worker);
             }
         }
         return pass;
@@ -370,7 +384,7 @@
         if (queue != null) {
             Placement.chooseToKeepFree(
                             demand(pass, task, queue, "", 0),
-                            pass.mUsableWorkers,
+                            pass.candidates(),
                             candidate -> candidate.sameStepCount(task.step))
                     .ifPresent(candidate -> candidate.keepFree(task.step.spec));
         }
@@ -413,7 +427,7 @@
                 && task.step.spec.reservation().fitsIn(pass.largestRoom())
                 && Placement.isRoomTwice(
                         demand(pass, task, queue, "", 0),
-                        pass.mUsableWorkers,
+                        pass.candidates(),
                         candidate -> candidate.sameStepCount(task.step));
     }
 
@@ -469,7 +483,7 @@
         pass.mLookedAtCount += pass.mUsableWorkers.size();
         Optional<WorkerCandidate> chosen =
                 Placement.choose(
-                        demand, pass.mUsableWorkers, candidate -> candidate.sameStepCount(step));
+                        demand, pass.candidates(), candidate -> candidate.sameStepCount(step));
         if (chosen.isEmpty()) {
             pass.recordUnplaced(demand);
             return null;
@@ -505,7 +519,7 @@
 
     private boolean findsBetterPlacement(Run run, Collection<WorkerSession> workers) {
         Pass pass = newPass(workers, run.worker.nowMillis());
-        pass.mUsableWorkers.remove(pass.candidate(run.worker));
+        pass.mUsableWorkers.remove(run.worker);
         Run moved = placeTask(pass, run.task, run.attempt + 1, "", 0);
         if (moved == null) {
             return false;
@@ -527,7 +541,7 @@
     boolean hasHealthyPlacement(Run run, Collection<WorkerSession> workers) {
         long startNanos = System.nanoTime();
         Pass pass = newPass(workers, run.worker.nowMillis());
-        pass.mUsableWorkers.remove(pass.candidate(run.worker));
+        pass.mUsableWorkers.remove(run.worker);
         Run moved = placeTask(pass, run.task, run.attempt + 1, "", 0);
         mMonitor.moveSearched(System.nanoTime() - startNanos);
         return moved != null && moved.worker.suspicion() == 0;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WaitingTasks.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WaitingTasks.java
@@ -5,6 +5,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.hornbeamward.dispatch.job.StepSpec;
 import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.lib.Resources;
@@ -68,15 +69,15 @@
      * forgets them.
      *
      * @param nowMillis monotonic time
-     * @param candidates the usable workers, with the runs that the pass has added
+     * @param candidates supplies the usable workers, with the runs that the pass has added
      */
-    void logIfDue(long nowMillis, List<WorkerCandidate> candidates) {
+    void logIfDue(long nowMillis, Supplier<List<WorkerCandidate>> candidates) {
         mGroups.forEach(
                 (kind, group) -> {
                     Long loggedMillis = mLoggedMillis.get(kind);
                     if (loggedMillis == null || nowMillis - loggedMillis >= LOG_INTERVAL_MILLIS) {
                         mLoggedMillis.put(kind, nowMillis);
-                        log(kind, group, candidates);
+                        log(kind, group, candidates.get());
                     }
                 });
         mGroups.clear();
