Leave memory beside the processors kept for short jobs

Fillers reserve memory and no processors, and go where most processors are idle.

A filler now costs more on a worker whose free processors would be left with less than half of their part of its memory.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/FragmentedRoomTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/FragmentedRoomTest.java
@@ -48,6 +48,28 @@
     /** How long a task of 0.8 s may wait if its job has 1.5 times as long. */
     private static final long OBJECTIVE_WAIT_MILLIS = 400;
 
+    private static final long FILLER_MEMORY_MIB = 6_000;
+
+    /** A filler that asks for few processors and much memory. */
+    private static final StepSpec FILLER =
+            new StepSpec(
+                    1,
+                    new Resources(500, FILLER_MEMORY_MIB, 0),
+                    SHORT_MEAN_MILLIS,
+                    List.of(),
+                    false,
+                    false,
+                    false,
+                    "",
+                    "",
+                    0,
+                    false,
+                    false,
+                    "filler",
+                    0,
+                    true,
+                    0);
+
     private record Placed(StepSpec step, long endMillis) {}
 
     private record Waiting(StepSpec step, long sinceMillis, long durationMillis) {}
@@ -89,7 +111,10 @@
 
         @Override
         public long fillerCpuMillicores() {
-            return 0;
+            return mTasks.stream()
+                    .filter(task -> task.step().filler())
+                    .mapToLong(task -> task.step().size().cpuMillicores())
+                    .sum();
         }
 
         @Override
@@ -243,6 +268,30 @@
         assertEquals(0, mWaiting.stream().filter(task -> !task.step().longRunning()).count());
     }
 
+    /**
+     * Guards against fillers that take all memory of the workers whose processors are kept free:
+     * they find most idle processors there, and reserve memory only.
+     */
+    @Test
+    void fillersLeaveMemoryBesideTheProcessorsKeptForShortJobs() {
+        submitLongRunning(new Random(1));
+        for (int tick = 0; tick < 40; tick++) {
+            advance();
+        }
+        long memoryMib = 4 * capacityMillicores() / 5;
+        for (long placedMib = 0; placedMib < memoryMib; placedMib += FILLER_MEMORY_MIB) {
+            submit(FILLER, END_MILLIS);
+        }
+        advance();
+        submit(step(SMALL_MILLICORES / 2, false), SHORT_MEAN_MILLIS);
+        advance();
+        assertEquals(
+                0,
+                mWaiting.stream()
+                        .filter(task -> task.step().size().cpuMillicores() == SMALL_MILLICORES / 2)
+                        .count());
+    }
+
     /** Short tasks that use half of what is kept for them must not wait beyond their objective. */
     @ParameterizedTest
     @ValueSource(longs = {1, 2, 3, 4, 5})
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
@@ -40,6 +40,15 @@
      */
     private static final double SAME_STEP_WEIGHT = 0.25;
 
+    /**
+     * Share of a worker's memory that the tasks on all its processors are expected to need. Fillers
+     * reserve memory only; free processors are of no use to other tasks without memory.
+     */
+    private static final double EXPECTED_MEMORY_SHARE = 0.5;
+
+    /** Weight of the share of memory that a filler takes from the worker's free processors. */
+    private static final double MISSING_MEMORY_WEIGHT = 4.0;
+
     /** Weight of a worker on which this task failed last, or that is suspected of failing tasks. */
     private static final double SUSPECT_WEIGHT = 8.0;
 
@@ -337,6 +346,17 @@
         return 1.0 - (unusedCpu(candidate) - filler.size().cpuMillicores()) / capacity;
     }
 
+    /** Returns the share of the memory that the free processors will lack beside a filler. */
+    private static double missingMemoryShare(StepSpec filler, Candidate candidate) {
+        Resources capacity = candidate.entry().capacity();
+        Resources free = candidate.free();
+        double freeCpuShare = (double) free.cpuMillicores() / Math.max(1, capacity.cpuMillicores());
+        double remainingShare =
+                (double) (free.memoryMib() - filler.size().memoryMib())
+                        / Math.max(1, capacity.memoryMib());
+        return Math.max(0, EXPECTED_MEMORY_SHARE * freeCpuShare - remainingShare);
+    }
+
     /** Returns the share of the scarcer resource that stays free beside a task. */
     private static double remainingShare(StepSpec step, Candidate candidate) {
         Resources capacity = candidate.entry().capacity();
@@ -358,6 +378,7 @@
             cost += OTHER_RACK_WEIGHT;
         }
         if (step.filler()) {
+            cost += MISSING_MEMORY_WEIGHT * missingMemoryShare(step, candidate);
             cost += INTERFERENCE_WEIGHT * candidate.interference(step);
         }
         if (step.serving()) {
