--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/DecisionsTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/DecisionsTest.java
@@ -29,12 +29,14 @@
                 remainingMillis,
                 longRunning,
                 false,
+                false,
                 sequence,
                 ImageGroup.NONE);
     }
 
     private static SortKey interrupted(long releaseWallMillis, long sequence) {
-        return new SortKey(0, releaseWallMillis, 2_900, 320, true, true, sequence, ImageGroup.NONE);
+        return new SortKey(
+                0, releaseWallMillis, 2_900, 320, true, true, false, sequence, ImageGroup.NONE);
     }
 
     private static List<Long> order(SortKey... keys) {
@@ -61,6 +63,40 @@
         assertEquals(List.of(3L, 2L, 1L), order(worthless, late, inTime));
     }
 
+    private static SortKey beyondShare(long releaseWallMillis, boolean longRunning, long sequence) {
+        return new SortKey(
+                0,
+                releaseWallMillis,
+                1_750,
+                1_000,
+                longRunning,
+                false,
+                true,
+                sequence,
+                ImageGroup.NONE);
+    }
+
+    /** Load pattern: one account sends many times its usual, and the others wait behind it. */
+    @Test
+    void jobsBeyondTheShareOfAnAccountGoBehindAllThatAreWorthSomething() {
+        SortKey inTimeBeyond = beyondShare(NOW, false, 1);
+        SortKey lateBeyond = beyondShare(NOW - 2_000, false, 2);
+        SortKey longRunningBeyond = beyondShare(NOW, true, 3);
+        SortKey worthlessBeyond = beyondShare(NOW - 20_000, false, 4);
+        SortKey late = sortKey(2, NOW - 2_000, 1_750, 1_000, false, 5);
+        SortKey longRunning = sortKey(0, NOW, 2_900, 320, true, 6);
+        List<Long> order =
+                order(
+                        inTimeBeyond,
+                        lateBeyond,
+                        longRunningBeyond,
+                        worthlessBeyond,
+                        late,
+                        longRunning);
+        assertEquals(List.of(6L, 5L), order.subList(0, 2));
+        assertEquals(4L, order.get(5));
+    }
+
     /** Guards against long-running tasks that take the capacity that a short job has waited for. */
     @Test
     void aShortJobGoesBeforeALongRunningOne() {
@@ -81,7 +117,8 @@
 
     private static SortKey serving(long sequence, String image, long millicores, boolean spread) {
         ImageGroup imageGroup = new ImageGroup(image, millicores, spread);
-        return new SortKey(0, NOW - sequence % 2, 2_900, 320, true, false, sequence, imageGroup);
+        return new SortKey(
+                0, NOW - sequence % 2, 2_900, 320, true, false, false, sequence, imageGroup);
     }
 
     /**
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
@@ -57,7 +57,7 @@
 
     private static FeedMessage.Heartbeat heartbeat(
             long epoch, long progressOffset, long unconfirmedMillis) {
-        return new FeedMessage.Heartbeat(epoch, true, unconfirmedMillis, 100, progressOffset);
+        return new FeedMessage.Heartbeat(epoch, true, unconfirmedMillis, 100, progressOffset, 0);
     }
 
     /** Sends a follower heartbeats with a growing time since the leader's last confirmation. */
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
@@ -12,7 +12,14 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import org.hornbeamward.dispatch.account.AccessCheck.Access;
+import org.hornbeamward.dispatch.account.AccountDirectory;
+import org.hornbeamward.dispatch.account.ClientAccount;
+import org.hornbeamward.dispatch.account.KeyDigest;
+import org.hornbeamward.dispatch.account.KeyPolicy;
 import org.hornbeamward.dispatch.config.ClusterConfig;
 import org.hornbeamward.dispatch.config.PoolConfig;
 import org.hornbeamward.dispatch.config.QueueConfig;
@@ -29,6 +36,7 @@
 import org.hornbeamward.dispatch.port.Topic;
 import org.hornbeamward.dispatch.port.WorkerEntry;
 import org.hornbeamward.lib.JobId;
+import org.hornbeamward.lib.Resources;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -36,7 +44,7 @@
 /** An entry that follows a leader, with a fake store and feed on a virtual clock. */
 class EntryNodeTest {
     private static final QueueConfig QUEUE =
-            new QueueConfig("queue", "host", "/q/", "pool", 0, 3, 2.0, 250, false, 0);
+            new QueueConfig("queue", "host", "/q/", "pool", 0, 3, 2.0, 250, false, false, 0);
     private static final JobId JOB = new JobId("0123456789abcdef");
 
     private final VirtualLoop mLoop = new VirtualLoop();
@@ -58,19 +66,30 @@
         public void unfollow() {}
     }
 
+    /** Decodes a version, or a version and the keys of an account, separated by spaces. */
     private static final class FakeDocuments implements Documents {
         @Override
         public Either<String, OperatorDocument> decodeOperatorRecord(String key, byte[] value) {
             if (!key.equals("config")) {
                 return Either.left("unknown key " + key);
             }
-            long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+            List<String> words = List.of(new String(value, StandardCharsets.UTF_8).split(" ", -1));
+            long version = Long.parseLong(words.get(0));
+            AccountDirectory accounts = AccountDirectory.NONE;
+            if (words.size() > 1) {
+                Set<KeyDigest> keys =
+                        words.stream().skip(1).map(KeyDigest::of).collect(Collectors.toSet());
+                accounts =
+                        AccountDirectory.of(
+                                List.of(new ClientAccount("account", keys, 1, Resources.NONE)));
+            }
             return Either.right(
                     new OperatorDocument.Config(
                             ClusterConfig.of(
                                     version,
                                     List.of(QUEUE),
                                     List.of(new PoolConfig("pool", true, false)),
+                                    accounts,
                                     1_000)));
         }
 
@@ -97,6 +116,7 @@
                         new FakeWorkers(mLoop),
                         new FakeDocuments(),
                         new DispatchLimits(6_000, 200, 120_000, 1.0, 1_000),
+                        KeyPolicy.withdrawnKeysEndWithin(5_000),
                         mFeed,
                         new FeedServer(mGroup, "127.0.0.1", 0),
                         new Random(1),
@@ -105,7 +125,7 @@
         mNode.start();
         mLoop.advance(100);
         mFeed.mReceiver.orElseThrow().received(new FeedMessage.Phases(true, true, List.of()));
-        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Heartbeat(1, true, 0, 0, 10));
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Heartbeat(1, true, 0, 0, 10, 0));
     }
 
     @AfterEach
@@ -114,7 +134,7 @@
     }
 
     private JobOutcome phase() {
-        CompletableFuture<JobOutcome> answer = mNode.phase(QUEUE, JOB);
+        CompletableFuture<JobOutcome> answer = mNode.phase(QUEUE, "", JOB);
         mLoop.advance(300);
         return answer.join();
     }
@@ -138,9 +158,9 @@
      */
     @Test
     void anEntryAddsTheAgeOfTheReportToTheAgeOfTheJobs() {
-        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Heartbeat(1, true, 0, 2_000, 10));
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Heartbeat(1, true, 0, 2_000, 10, 0));
         assertInstanceOf(JobOutcome.NoSuchJob.class, phase());
-        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Heartbeat(1, true, 0, 2_400, 10));
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Heartbeat(1, true, 0, 2_400, 10, 0));
 
         mLoop.advance(1_000);
 
@@ -195,13 +215,14 @@
         CompletableFuture<EntryNode.SubmitOutcome> answer =
                 mNode.submit(
                         QUEUE,
+                        "",
                         JOB,
                         new JobSpec("payload", List.of(), 0, 0, 0),
                         mLoop.nowMillis() + 2_900);
         mLoop.advance(50);
         assertFalse(answer.isDone());
 
-        StatusTable.Row row = new StatusTable.Row(JOB, QUEUE.name(), JobPhase.QUEUED);
+        StatusTable.Row row = new StatusTable.Row(JOB, QUEUE.name(), "", JobPhase.QUEUED);
         mFeed.mReceiver.orElseThrow().received(new FeedMessage.Phases(false, false, List.of(row)));
 
         assertInstanceOf(EntryNode.SubmitOutcome.Accepted.class, answer.join());
@@ -215,7 +236,8 @@
      */
     @Test
     void aCancellationOfAJobThatIsNotKnownYetIsStored() {
-        CompletableFuture<JobOutcome> answer = mNode.cancel(QUEUE, JOB, mLoop.nowMillis() + 3_000);
+        CompletableFuture<JobOutcome> answer =
+                mNode.cancel(QUEUE, "", JOB, mLoop.nowMillis() + 3_000);
         mLoop.advance(50);
         assertEquals(new JobOutcome.Known(JobPhase.CANCELLED), answer.join());
         KeyedRecord record = mStore.records(Topic.JOBS).get(0);
@@ -226,7 +248,8 @@
     @Test
     void aCancellationThatTheStoreDoesNotTakeIsNotAcknowledged() {
         mStore.down = true;
-        CompletableFuture<JobOutcome> answer = mNode.cancel(QUEUE, JOB, mLoop.nowMillis() + 1_000);
+        CompletableFuture<JobOutcome> answer =
+                mNode.cancel(QUEUE, "", JOB, mLoop.nowMillis() + 1_000);
         mLoop.advance(4_000);
         assertInstanceOf(JobOutcome.Unavailable.class, answer.join());
     }
@@ -240,10 +263,114 @@
                         new FeedMessage.Phases(
                                 false,
                                 false,
-                                List.of(new StatusTable.Row(JOB, "other", JobPhase.RUNNING))));
-        CompletableFuture<JobOutcome> answer = mNode.cancel(QUEUE, JOB, mLoop.nowMillis() + 3_000);
+                                List.of(new StatusTable.Row(JOB, "other", "", JobPhase.RUNNING))));
+        CompletableFuture<JobOutcome> answer =
+                mNode.cancel(QUEUE, "", JOB, mLoop.nowMillis() + 3_000);
         mLoop.advance(50);
         assertInstanceOf(JobOutcome.NoSuchJob.class, answer.join());
         assertTrue(mStore.records(Topic.JOBS).isEmpty());
     }
+
+    private Access authorize(String key) {
+        return mNode.authorize(QUEUE, List.of("Bearer " + key));
+    }
+
+    /**
+     * Guards against a withdrawn key that is used until the next configuration is read by chance.
+     */
+    @Test
+    void aWithdrawnKeyIsRefusedOnceTheConfigurationIsRead() {
+        writeConfig("8 k1 k2");
+        mLoop.advance(200);
+        assertEquals(new Access.Granted("account"), authorize("k1"));
+        writeConfig("9 k2");
+        mLoop.advance(200);
+
+        assertInstanceOf(Access.Unauthorized.class, authorize("k1"));
+        assertEquals(new Access.Granted("account"), authorize("k2"));
+    }
+
+    /** Guards against a withdrawn key that an instance without the store goes on accepting. */
+    @Test
+    void anEntryThatIsCutOffFromTheStoreAcceptsNoKeyAfterAWhile() {
+        writeConfig("8 k1");
+        mLoop.advance(200);
+        mStore.down = true;
+        mLoop.advance(3_000);
+        assertEquals(new Access.Granted("account"), authorize("k1"));
+        mLoop.advance(2_000);
+        assertInstanceOf(Access.Unverifiable.class, authorize("k1"));
+
+        mStore.down = false;
+        mLoop.advance(1_500);
+
+        assertEquals(new Access.Granted("account"), authorize("k1"));
+    }
+
+    /** Guards against a process that wakes and accepts a key that was withdrawn meanwhile. */
+    @Test
+    void anEntryThatWasSuspendedAcceptsNoKeyBeforeItHasReadTheConfiguration() {
+        writeConfig("8 k1");
+        mLoop.advance(200);
+        writeConfig("9 k2");
+        mLoop.suspend(10_000);
+        assertInstanceOf(Access.Unverifiable.class, authorize("k1"));
+
+        mLoop.advance(2_500);
+
+        assertInstanceOf(Access.Unauthorized.class, authorize("k1"));
+    }
+
+    /** Guards against a caller who sees or cancels a job of another account. */
+    @Test
+    void aJobOfAnotherAccountIsNeitherShownNorCancelled() {
+        StatusTable.Row row = new StatusTable.Row(JOB, QUEUE.name(), "account", JobPhase.RUNNING);
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Phases(false, false, List.of(row)));
+
+        assertInstanceOf(
+                JobOutcome.NoSuchJob.class,
+                mNode.cancel(QUEUE, "other", JOB, mLoop.nowMillis() + 3_000).join());
+        assertInstanceOf(JobOutcome.NoSuchJob.class, phase());
+        assertEquals(
+                new JobOutcome.Known(JobPhase.RUNNING), mNode.phase(QUEUE, "account", JOB).join());
+    }
+
+    private CompletableFuture<EntryNode.SubmitOutcome> submit(String account, String job) {
+        return mNode.submit(
+                QUEUE,
+                account,
+                new JobId(job),
+                new JobSpec("payload", List.of(), 0, 0, 0),
+                mLoop.nowMillis() + 2_900);
+    }
+
+    /**
+     * Load pattern: an account sends many times its share through several entries while the workers
+     * are full. The jobs that other entries have accepted count as well.
+     */
+    @Test
+    void aJobBeyondItsAccountsShareIsRefusedAtOnceWhileSuchJobsWaitForWorkers() {
+        writeConfig("8 k1");
+        mLoop.advance(200);
+        for (int number = 0; number < 4; number++) {
+            StatusTable.Row row =
+                    new StatusTable.Row(
+                            new JobId("job" + number), QUEUE.name(), "account", JobPhase.QUEUED);
+            mFeed.mReceiver
+                    .orElseThrow()
+                    .received(new FeedMessage.Phases(false, false, List.of(row)));
+        }
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Heartbeat(1, true, 0, 0, 10, 5_000));
+        CompletableFuture<EntryNode.SubmitOutcome> refused = submit("account", "refused");
+        assertTrue(refused.isDone());
+        EntryNode.SubmitOutcome.BeyondShare outcome =
+                assertInstanceOf(EntryNode.SubmitOutcome.BeyondShare.class, refused.join());
+        assertTrue(outcome.retryAfterMillis() >= 1_000);
+
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Heartbeat(1, true, 0, 0, 10, 0));
+        CompletableFuture<EntryNode.SubmitOutcome> accepted = submit("account", "accepted");
+        mLoop.advance(50);
+
+        assertInstanceOf(EntryNode.SubmitOutcome.Accepted.class, accepted.join());
+    }
 }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaderFixture.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hornbeamward.dispatch.account.AccountDirectory;
 import org.hornbeamward.dispatch.config.ClusterConfig;
 import org.hornbeamward.dispatch.config.PoolConfig;
 import org.hornbeamward.dispatch.config.QueueConfig;
@@ -37,6 +38,10 @@
     final FakeWorkers mWorkers = new FakeWorkers(mLoop);
     final NodeMetrics mMetrics = new NodeMetrics();
     final Map<JobId, JobPhase> mPhases = new HashMap<>();
+
+    /** Client accounts of the configuration that dispatchers start with. */
+    AccountDirectory mAccounts = AccountDirectory.NONE;
+
     private final List<WorkerEntry> mOddEntries = new ArrayList<>();
 
     LeaderFixture() {
@@ -76,8 +81,8 @@
                         this,
                         new StatusListener() {
                             @Override
-                            public void phaseChanged(JobId job, String queue, JobPhase phase) {
-                                mPhases.put(job, phase);
+                            public void phaseChanged(Submission submission, JobPhase phase) {
+                                mPhases.put(submission.job(), phase);
                             }
 
                             @Override
@@ -94,18 +99,23 @@
                         epoch,
                         former,
                         reason -> {});
-        dispatcher.configure(
-                ClusterConfig.of(
-                        1,
-                        List.of(
-                                new QueueConfig(
-                                        "queue", "host", "/q/", "pool", 0, 3, 2.0, 250, false, 0)),
-                        List.of(new PoolConfig("pool", true, false)),
-                        1_000));
+        dispatcher.configure(config());
         dispatcher.start();
         return dispatcher;
     }
 
+    /** Returns a configuration with one queue, one pool and the accounts. */
+    ClusterConfig config() {
+        return ClusterConfig.of(
+                1,
+                List.of(
+                        new QueueConfig(
+                                "queue", "host", "/q/", "pool", 0, 3, 2.0, 250, false, false, 0)),
+                List.of(new PoolConfig("pool", true, false)),
+                mAccounts,
+                1_000);
+    }
+
     static StepSpec step(int taskCount, long cpuMillicores, Integer... dependencies) {
         return step(taskCount, cpuMillicores, false, false, dependencies);
     }
@@ -148,9 +158,17 @@
     }
 
     JobId submitAt(long acceptedWallMillis, String id, StepSpec... steps) {
+        return submit(acceptedWallMillis, "", id, steps);
+    }
+
+    JobId submitFor(String account, String id, StepSpec... steps) {
+        return submit(mLoop.wallMillis(), account, id, steps);
+    }
+
+    private JobId submit(long acceptedWallMillis, String account, String id, StepSpec... steps) {
         JobId job = new JobId(id);
         JobSpec spec = new JobSpec("payload", List.of(steps), 0, 0, 0);
-        Submission submission = new Submission(job, "queue", acceptedWallMillis, spec);
+        Submission submission = new Submission(job, "queue", account, acceptedWallMillis, spec);
         mStore.records(Topic.JOBS)
                 .add(new KeyedRecord(JobKeys.submission(job), submission.encode()));
         return job;
@@ -162,7 +180,9 @@
 
     void cancel(JobId job, String queue) {
         mStore.records(Topic.JOBS)
-                .add(new KeyedRecord(JobKeys.cancellation(job), new Cancellation(queue).encode()));
+                .add(
+                        new KeyedRecord(
+                                JobKeys.cancellation(job), new Cancellation(queue, "").encode()));
     }
 
     int startedCount() {
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
@@ -138,6 +138,7 @@
                                             2.0,
                                             250,
                                             false,
+                                            false,
                                             0)),
                             List.of(new PoolConfig("pool", true, false)),
                             1_000));
@@ -159,8 +160,8 @@
         }
 
         @Override
-        public void phaseChanged(JobId job, String queue, JobPhase phase) {
-            mPhases.put(job, phase);
+        public void phaseChanged(Submission submission, JobPhase phase) {
+            mPhases.put(submission.job(), phase);
         }
 
         @Override
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/store/TopicFollowerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/store/TopicFollowerTest.java
@@ -41,14 +41,20 @@
         private String mOddKey = "";
         private int mPageCount;
         private int mFailingReadCount;
+        private boolean mHistoryGone;
+        private long mSecondPageMillis = 8;
 
         OddStore(Loop loop) {
             mLoop = loop;
         }
 
         private <T> CompletableFuture<T> later(T value) {
+            return later(8, value);
+        }
+
+        private <T> CompletableFuture<T> later(long millis, T value) {
             CompletableFuture<T> answer = new CompletableFuture<>();
-            mLoop.schedule(8, () -> answer.complete(value));
+            mLoop.schedule(millis, () -> answer.complete(value));
             return answer;
         }
 
@@ -68,6 +74,10 @@
                                     throw new IllegalStateException("the answer cannot be decoded");
                                 });
             }
+            if (mHistoryGone) {
+                mHistoryGone = false;
+                return later(new ReadOutcome.HistoryGone());
+            }
             return fromOffset > 3
                     ? later(new ReadOutcome.Records(List.of(), 4))
                     : later(new ReadOutcome.Records(List.of(record("new")), 4));
@@ -79,7 +89,9 @@
             mPageCount++;
             return afterKey.isEmpty() || afterKey.equals("loop")
                     ? later(new NewestOutcome.Page(List.of(record("a"), record(mOddKey)), true, 3))
-                    : later(new NewestOutcome.Page(List.of(record("b")), false, 3));
+                    : later(
+                            mSecondPageMillis,
+                            new NewestOutcome.Page(List.of(record("b")), false, 3));
         }
 
         private static KeyedRecord record(String key) {
@@ -119,4 +131,24 @@
 
         assertTrue(mKeys.contains("new"));
     }
+
+    /**
+     * Guards against a view that counts as new while it is still loaded: an entry would accept keys
+     * that the first page of a compacted topic no longer holds.
+     */
+    @Test
+    void theContentIsAsOldAsBeforeUntilItIsLoadedAnew() {
+        mStore.mOddKey = "odd";
+        mFollower.start();
+        mLoop.advance(500);
+        assertTrue(mFollower.ageMillis() < 100);
+        mStore.mSecondPageMillis = 2_500;
+        mStore.mHistoryGone = true;
+
+        mLoop.advance(2_000);
+        assertTrue(mFollower.ageMillis() >= 1_900);
+
+        mLoop.advance(1_000);
+        assertTrue(mFollower.ageMillis() < 1_000);
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/config/ClusterConfig.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/config/ClusterConfig.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.hornbeamward.dispatch.account.AccountDirectory;
 
 /**
  * A complete configuration.
@@ -11,12 +12,14 @@
  * @param version its version; versions increase
  * @param queues queues by name
  * @param pools worker pools by name
+ * @param accounts client accounts
  * @param maxBodyBytes largest request body
  */
 public record ClusterConfig(
         long version,
         Map<String, QueueConfig> queues,
         Map<String, PoolConfig> pools,
+        AccountDirectory accounts,
         int maxBodyBytes) {
 
     /** Copies the maps. */
@@ -26,7 +29,7 @@
     }
 
     /**
-     * Creates a configuration from lists.
+     * Creates a configuration without client accounts from lists.
      *
      * @param version version of the configuration
      * @param queues all queues
@@ -36,11 +39,30 @@
      */
     public static ClusterConfig of(
             long version, List<QueueConfig> queues, List<PoolConfig> pools, int maxBodyBytes) {
+        return of(version, queues, pools, AccountDirectory.NONE, maxBodyBytes);
+    }
+
+    /**
+     * Creates a configuration from lists.
+     *
+     * @param version version of the configuration
+     * @param queues all queues
+     * @param pools all worker pools
+     * @param accounts client accounts
+     * @param maxBodyBytes largest request body
+     * @return the configuration
+     */
+    public static ClusterConfig of(
+            long version,
+            List<QueueConfig> queues,
+            List<PoolConfig> pools,
+            AccountDirectory accounts,
+            int maxBodyBytes) {
         Map<String, QueueConfig> queuesByName = new HashMap<>();
         queues.forEach(queue -> queuesByName.put(queue.name(), queue));
         Map<String, PoolConfig> poolsByName = new HashMap<>();
         pools.forEach(pool -> poolsByName.put(pool.name(), pool));
-        return new ClusterConfig(version, queuesByName, poolsByName, maxBodyBytes);
+        return new ClusterConfig(version, queuesByName, poolsByName, accounts, maxBodyBytes);
     }
 
     /**
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/config/QueueConfig.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/config/QueueConfig.java
@@ -11,6 +11,7 @@
  * @param attemptLimit number of failed runs of a task after which its job fails
  * @param slackFactor multiple of the length of a job's critical path that its objective allows
  * @param objectiveMillis time that its objective allows in addition
+ * @param openToAll whether callers need no key of a client account
  * @param approvalRequired whether a policy service must approve the workers of each step
  * @param approvalValidMillis how long an approval is valid; 0 without a policy service
  */
@@ -23,5 +24,6 @@
         int attemptLimit,
         double slackFactor,
         long objectiveMillis,
+        boolean openToAll,
         boolean approvalRequired,
         long approvalValidMillis) {}
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/JobOrder.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/JobOrder.java
@@ -8,10 +8,11 @@
  * been running go first: they are few, they had their capacity before, and callers count them as
  * lost when they stay away. Jobs that can still meet their objective follow, by priority and then
  * by latest start time. Next come new long-running jobs, which lose only the time that they wait,
- * and then jobs that are already late. Jobs whose result is worth nothing any more come last, so
- * that they do not make others late. Long-running jobs that are submitted together, such as after a
- * start of the whole system, are placed image by image, so that images are not mixed on all
- * workers.
+ * and then jobs that are already late. Jobs beyond the share of their client account follow, so
+ * that an account that sends many times its usual costs the others nothing. Jobs whose result is
+ * worth nothing any more come last, so that they do not make others late. Long-running jobs that
+ * are submitted together, such as after a start of the whole system, are placed image by image, so
+ * that images are not mixed on all workers.
  */
 public final class JobOrder {
     /** Multiple of a job's objective after which its result is worth nothing. */
@@ -46,6 +47,7 @@
      * @param remainingMillis estimated duration of the remaining steps, at most the critical path
      * @param longRunning whether it runs until it is cancelled
      * @param interrupted whether only tasks are placed that have been running before
+     * @param beyondShare whether the job lies beyond the share of its client account
      * @param sequence order of arrival
      * @param imageGroup other jobs of its image, for a long-running job
      */
@@ -56,6 +58,7 @@
             long remainingMillis,
             boolean longRunning,
             boolean interrupted,
+            boolean beyondShare,
             long sequence,
             ImageGroup imageGroup) {
 
@@ -74,6 +77,8 @@
         LONG_RUNNING,
         /** Jobs that can no longer meet their objective. */
         LATE,
+        /** Jobs beyond the share of their client account, in time or not. */
+        BEYOND_SHARE,
         /** Jobs whose result is worth nothing any more. */
         WORTHLESS
     }
@@ -90,14 +95,17 @@
             return Tier.INTERRUPTED;
         }
         if (key.longRunning()) {
-            return Tier.LONG_RUNNING;
+            return key.beyondShare() ? Tier.BEYOND_SHARE : Tier.LONG_RUNNING;
         }
         if (key.latestStartWallMillis() >= nowWallMillis) {
-            return Tier.IN_TIME;
+            return key.beyondShare() ? Tier.BEYOND_SHARE : Tier.IN_TIME;
         }
         double worthlessMillis = WORTHLESS_FACTOR * key.objectiveMillis();
         double endMillis = nowWallMillis + key.remainingMillis() - key.releaseWallMillis();
-        return endMillis <= worthlessMillis ? Tier.LATE : Tier.WORTHLESS;
+        if (endMillis > worthlessMillis) {
+            return Tier.WORTHLESS;
+        }
+        return key.beyondShare() ? Tier.BEYOND_SHARE : Tier.LATE;
     }
 
     /**
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -9,6 +9,13 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
+import org.hornbeamward.dispatch.account.AccessCheck;
+import org.hornbeamward.dispatch.account.AccessCheck.Access;
+import org.hornbeamward.dispatch.account.AccountDirectory;
+import org.hornbeamward.dispatch.account.ClientAccount;
+import org.hornbeamward.dispatch.account.KeyPolicy;
+import org.hornbeamward.dispatch.account.ShareAdmission;
+import org.hornbeamward.dispatch.account.ShareMeter;
 import org.hornbeamward.dispatch.config.ClusterConfig;
 import org.hornbeamward.dispatch.config.QueueConfig;
 import org.hornbeamward.dispatch.job.Cancellation;
@@ -79,6 +86,8 @@
      */
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
+    private static final double MILLIS_PER_SECOND = 1_000.0;
+
     /** Outcome of a submission. */
     public sealed interface SubmitOutcome {
         /** The job is stored. */
@@ -92,6 +101,15 @@
          */
         record Refused(String reason, long retryAfterMillis) implements SubmitOutcome {}
 
+        /**
+         * The job is not stored: its client account sends more than its share while the workers are
+         * full.
+         *
+         * @param reason why
+         * @param retryAfterMillis time after which the caller may try again
+         */
+        record BeyondShare(String reason, long retryAfterMillis) implements SubmitOutcome {}
+
         /**
          * The job may be stored.
          *
@@ -133,6 +151,12 @@
     private final StatusTable mStatus = new StatusTable();
     private final Map<String, OperatorDocument> mOperatorDocuments = new HashMap<>();
     private final Set<JobId> mLocallyAcceptedJobs = new HashSet<>();
+    private final KeyPolicy mKeyPolicy;
+    private final RandomGenerator mRandom;
+
+    /** Counts the jobs of all entries by account, as the leader reports them. */
+    private final ShareMeter mShares = new ShareMeter();
+
     private final JobsWriter mJobsWriter;
     private final TopicFollower mOperatorFollower;
     private final Election mElection;
@@ -144,6 +168,7 @@
     private boolean mStopping;
     private @Nullable ClockReading mLastHeartbeat;
     private long mJobsAgeMillis = Long.MAX_VALUE;
+    private long mBeyondShareWaitMillis;
 
     /**
      * Creates an entry that is not started.
@@ -153,6 +178,7 @@
      * @param control sends orders to workers
      * @param documents decodes the records of operators and workers
      * @param limits limits from the platform's settings
+     * @param keyPolicy how old the known keys may be when a caller is identified by them
      * @param feed receives the feed of the leader
      * @param feedServer sends the feed to the other entries when this one leads
      * @param random source of the random candidacy delays
@@ -165,6 +191,7 @@
             WorkerControl control,
             Documents documents,
             DispatchLimits limits,
+            KeyPolicy keyPolicy,
             LeaderFeed feed,
             FeedServer feedServer,
             RandomGenerator random,
@@ -175,6 +202,8 @@
         mControl = control;
         mDocuments = documents;
         mLimits = limits;
+        mKeyPolicy = keyPolicy;
+        mRandom = random;
         mFeed = feed;
         mFeedServer = feedServer;
         mJobsWriter = new JobsWriter(loop, store);
@@ -208,6 +237,10 @@
                 "hornbeamward_status_fresh",
                 "1 while an unknown job is known not to exist",
                 () -> isStatusFresh() ? 1 : 0);
+        mMetrics.gauge(
+                "hornbeamward_config_age_seconds",
+                "age of the known configuration and of the keys in it",
+                () -> mOperatorFollower.ageMillis() / MILLIS_PER_SECOND);
     }
 
     /** Starts following the topics and taking part in elections. */
@@ -252,6 +285,8 @@
                         + isReady()
                         + " configVersion="
                         + (config == null ? "none" : config.version())
+                        + " configAgeMillis="
+                        + mOperatorFollower.ageMillis()
                         + " domainsOut="
                         + domainsOut()
                         + " knownJobs="
@@ -286,22 +321,51 @@
         return Optional.ofNullable(mConfig);
     }
 
+    /**
+     * Checks whether a caller may use a queue.
+     *
+     * @param queue the queue named in the request
+     * @param credentials values of the request's authorization header
+     * @return the caller's account, or why the request cannot be served
+     */
+    public Access authorize(QueueConfig queue, List<String> credentials) {
+        ClusterConfig config = mConfig;
+        Access access =
+                AccessCheck.check(
+                        config == null ? AccountDirectory.NONE : config.accounts(),
+                        queue.openToAll(),
+                        credentials,
+                        mOperatorFollower.ageMillis(),
+                        mKeyPolicy);
+        mMetrics.recordAccess(access.getClass().getSimpleName());
+        return access;
+    }
+
     /**
      * Submits a job.
      *
      * @param queue queue to submit the job to
+     * @param account client account of the caller; empty for none
      * @param job id chosen by the caller
      * @param spec what to run
      * @param deadlineMillis monotonic time at which the caller stops waiting
      * @return whether the job is stored
      */
     public CompletableFuture<SubmitOutcome> submit(
-            QueueConfig queue, JobId job, JobSpec spec, long deadlineMillis) {
+            QueueConfig queue, String account, JobId job, JobSpec spec, long deadlineMillis) {
         if (mStatus.get(job) != null || mLocallyAcceptedJobs.contains(job)) {
             return CompletableFuture.completedFuture(new SubmitOutcome.Accepted());
         }
+        Optional<SubmitOutcome> refusal = refuseBeyondShare(queue, account, spec);
+        // A refusal has to be true: another entry may have accepted the job in an earlier attempt.
+        if (refusal.isPresent()
+                && isStatusFresh()
+                && !mJobsWriter.mayBeStored(JobKeys.submission(job))) {
+            return CompletableFuture.completedFuture(refusal.get());
+        }
         long arrivedMillis = mLoop.nowMillis();
-        Submission submission = new Submission(job, queue.name(), mLoop.wallMillis(), spec);
+        Submission submission =
+                new Submission(job, queue.name(), account, mLoop.wallMillis(), spec);
         KeyedRecord record = new KeyedRecord(JobKeys.submission(job), submission.encode());
         return mJobsWriter
                 .store(record, deadlineMillis)
@@ -314,6 +378,40 @@
                         });
     }
 
+    /** Refuses a job beyond its account's share that would end too late on full workers. */
+    private Optional<SubmitOutcome> refuseBeyondShare(
+            QueueConfig queue, String accountName, JobSpec spec) {
+        ClusterConfig config = mConfig;
+        ClientAccount account =
+                config == null ? null : config.accounts().byName(accountName).orElse(null);
+        if (account == null) {
+            return Optional.empty();
+        }
+        long slackMillis =
+                queue.objectiveMillis()
+                        + (long) ((queue.slackFactor() - 1) * spec.criticalPathMillis());
+        ShareAdmission.Decision decision =
+                ShareAdmission.decide(
+                        mShares.waitMillis(account, mLoop.wallMillis()),
+                        mBeyondShareWaitMillis,
+                        slackMillis,
+                        mRandom.nextDouble());
+        return switch (decision) {
+            case ShareAdmission.Decision.Admitted admitted -> Optional.empty();
+            case ShareAdmission.Decision.Deferred deferred ->
+                    Optional.of(
+                            new SubmitOutcome.BeyondShare(
+                                    "client account "
+                                            + accountName
+                                            + " sends more than its share of "
+                                            + account.jobsPerSecond()
+                                            + " jobs a second, and such jobs have been waiting for "
+                                            + mBeyondShareWaitMillis
+                                            + " ms",
+                                    deferred.retryAfterMillis()));
+        };
+    }
+
     private SubmitOutcome toSubmitOutcome(
             JobsWriter.Outcome outcome, QueueConfig queue, JobId job, long arrivedMillis) {
         return switch (outcome) {
@@ -332,24 +430,25 @@
      * Returns the phase of a job.
      *
      * @param queue the queue named in the request
+     * @param account client account of the caller; empty for none
      * @param job id of the job
      * @return the phase, or why it is not known
      */
-    public CompletableFuture<JobOutcome> phase(QueueConfig queue, JobId job) {
-        JobOutcome known = lookUp(queue, job);
+    public CompletableFuture<JobOutcome> phase(QueueConfig queue, String account, JobId job) {
+        JobOutcome known = lookUp(queue, account, job);
         if (known instanceof JobOutcome.Known) {
             return CompletableFuture.completedFuture(known);
         }
         // The leader may not have reported yet a job that another entry has just accepted.
         CompletableFuture<JobOutcome> answer = new CompletableFuture<>();
-        mLoop.schedule(UNKNOWN_JOB_WAIT_MILLIS, () -> answer.complete(lookUp(queue, job)));
+        mLoop.schedule(UNKNOWN_JOB_WAIT_MILLIS, () -> answer.complete(lookUp(queue, account, job)));
         return answer;
     }
 
-    private JobOutcome lookUp(QueueConfig queue, JobId job) {
+    private JobOutcome lookUp(QueueConfig queue, String account, JobId job) {
         StatusTable.Row row = mStatus.get(job);
         if (row != null) {
-            return row.queue().equals(queue.name())
+            return row.isVisibleTo(queue.name(), account)
                     ? new JobOutcome.Known(row.phase())
                     : new JobOutcome.NoSuchJob();
         }
@@ -370,23 +469,27 @@
      * record it reads first.
      *
      * @param queue the queue named in the request
+     * @param account client account of the caller; empty for none
      * @param job id of the job to cancel
      * @param deadlineMillis monotonic time at which the caller stops waiting
      * @return its phase after the call, or why it cannot be cancelled
      */
-    public CompletableFuture<JobOutcome> cancel(QueueConfig queue, JobId job, long deadlineMillis) {
+    public CompletableFuture<JobOutcome> cancel(
+            QueueConfig queue, String account, JobId job, long deadlineMillis) {
         StatusTable.Row row = mStatus.get(job);
         boolean settled =
-                row != null && (!row.queue().equals(queue.name()) || row.phase().terminal());
+                row != null && (!row.isVisibleTo(queue.name(), account) || row.phase().terminal());
         return settled
-                ? CompletableFuture.completedFuture(lookUp(queue, job))
-                : storeCancellation(queue, job, deadlineMillis);
+                ? CompletableFuture.completedFuture(lookUp(queue, account, job))
+                : storeCancellation(queue, account, job, deadlineMillis);
     }
 
     private CompletableFuture<JobOutcome> storeCancellation(
-            QueueConfig queue, JobId job, long deadlineMillis) {
+            QueueConfig queue, String account, JobId job, long deadlineMillis) {
         KeyedRecord record =
-                new KeyedRecord(JobKeys.cancellation(job), new Cancellation(queue.name()).encode());
+                new KeyedRecord(
+                        JobKeys.cancellation(job),
+                        new Cancellation(queue.name(), account).encode());
         return mJobsWriter
                 .store(record, deadlineMillis)
                 .thenApply(
@@ -452,7 +555,8 @@
                 dispatcher.isReady(),
                 dispatcher.unconfirmedMillis(),
                 dispatcher.jobsAgeMillis(),
-                dispatcher.progressOffset());
+                dispatcher.progressOffset(),
+                dispatcher.beyondShareWaitMillis());
     }
 
     private void sendHeartbeats() {
@@ -461,11 +565,23 @@
         if (dispatcher != null) {
             // The heartbeat tells the age of the jobs that were sent before it.
             flushRows();
+            mBeyondShareWaitMillis = dispatcher.beyondShareWaitMillis();
             mFeedServer.broadcast(createHeartbeat(dispatcher));
         }
     }
 
-    private void recordPhase(StatusTable.Row row) {
+    /**
+     * Records a phase that the leader has reported.
+     *
+     * @param complete whether the table has been complete, so that an unknown job is a new one
+     */
+    private void recordPhase(StatusTable.Row row, boolean complete) {
+        ClusterConfig config = mConfig;
+        if (complete && config != null && mStatus.get(row.job()) == null) {
+            config.accounts()
+                    .byName(row.account())
+                    .ifPresent(account -> mShares.arrived(account, mLoop.wallMillis()));
+        }
         mStatus.put(row);
         mLocallyAcceptedJobs.remove(row.job());
         mJobsWriter.confirmStored(JobKeys.submission(row.job()));
@@ -533,13 +649,15 @@
         private boolean mFirstReport = true;
 
         @Override
-        public void phaseChanged(JobId job, String queue, JobPhase phase) {
+        public void phaseChanged(Submission submission, JobPhase phase) {
             if (mFirstReport) {
                 mFirstReport = false;
                 mStatus.clear();
             }
-            StatusTable.Row row = new StatusTable.Row(job, queue, phase);
-            recordPhase(row);
+            StatusTable.Row row =
+                    new StatusTable.Row(
+                            submission.job(), submission.queue(), submission.account(), phase);
+            recordPhase(row, mStatusComplete);
             if (mStatusComplete) {
                 if (mUnsentRows.isEmpty()) {
                     mLoop.schedule(0, EntryNode.this::flushRows);
@@ -588,6 +706,7 @@
                         mLastHeartbeat = ClockReading.now(mLoop);
                         mJobsAgeMillis =
                                 heartbeat.ready() ? heartbeat.jobsAgeMillis() : Long.MAX_VALUE;
+                        mBeyondShareWaitMillis = heartbeat.beyondShareWaitMillis();
                     }
                 }
                 case FeedMessage.Phases phases -> applyPhases(phases);
@@ -600,11 +719,12 @@
                 mStatus.clear();
                 mStatusComplete = false;
             }
+            boolean complete = mStatusComplete;
             if (phases.last()) {
                 mStatusComplete = true;
             }
             for (StatusTable.Row row : phases.rows()) {
-                recordPhase(row);
+                recordPhase(row, complete);
             }
         }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/FeedMessage.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/FeedMessage.java
@@ -17,13 +17,16 @@
      * @param unconfirmedMillis time since the store last confirmed the leader
      * @param jobsAgeMillis age of the leader's view of the jobs topic
      * @param progressOffset offset after its last append to the progress topic
+     * @param beyondShareWaitMillis how long the oldest job beyond the share of its client account
+     *     has been waiting for workers; 0 if none waits
      */
     record Heartbeat(
             long epoch,
             boolean ready,
             long unconfirmedMillis,
             long jobsAgeMillis,
-            long progressOffset)
+            long progressOffset,
+            long beyondShareWaitMillis)
             implements FeedMessage {}
 
     /**
@@ -62,7 +65,8 @@
                             .bool(heartbeat.ready())
                             .integer(heartbeat.unconfirmedMillis())
                             .integer(heartbeat.jobsAgeMillis())
-                            .integer(heartbeat.progressOffset());
+                            .integer(heartbeat.progressOffset())
+                            .integer(heartbeat.beyondShareWaitMillis());
             case Phases phases ->
                     writer.integer(1)
                             .bool(phases.first())
@@ -70,9 +74,10 @@
                             .list(
                                     phases.rows(),
                                     row ->
-                                            writer.array(3)
+                                            writer.array(4)
                                                     .text(row.job())
                                                     .text(row.queue())
+                                                    .text(row.account())
                                                     .integer(row.phase().ordinal()));
             case JobsRemoved removed -> writer.integer(2).list(removed.jobs(), writer::text);
         }
@@ -94,6 +99,7 @@
                             reader.bool(),
                             reader.integer(),
                             reader.integer(),
+                            reader.integer(),
                             reader.integer());
             case 1 -> {
                 boolean first = reader.bool();
@@ -101,11 +107,12 @@
                 int count = reader.array();
                 List<StatusTable.Row> rows = new ArrayList<>();
                 for (int index = 0; index < count; index++) {
-                    reader.array(3);
+                    reader.array(4);
                     rows.add(
                             new StatusTable.Row(
                                     reader.job(),
                                     reader.text(),
+                                    reader.text(),
                                     reader.constant(JobPhase.values())));
                 }
                 yield new Phases(first, last, rows);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/JobsWriter.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/JobsWriter.java
@@ -115,6 +115,15 @@
         return pending.mOutcome;
     }
 
+    /**
+     * Returns whether an earlier append of a record got no answer and may have stored it.
+     *
+     * @param key key of the record
+     */
+    boolean mayBeStored(String key) {
+        return mUnansweredUntilMillis.getOrDefault(key, Long.MIN_VALUE) > mLoop.nowMillis();
+    }
+
     private void send() {
         if (mBusy || mPending.isEmpty()) {
             return;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/StatusTable.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/StatusTable.java
@@ -14,9 +14,15 @@
      *
      * @param job id of the job
      * @param queue name of the queue it was submitted to
+     * @param account client account of its caller; empty for none
      * @param phase its phase in the store
      */
-    record Row(JobId job, String queue, JobPhase phase) {}
+    record Row(JobId job, String queue, String account, JobPhase phase) {
+        /** Returns whether a caller may see the job. */
+        boolean isVisibleTo(String callerQueue, String callerAccount) {
+            return queue.equals(callerQueue) && account.equals(callerAccount);
+        }
+    }
 
     private final Map<JobId, Row> mRows = new LinkedHashMap<>();
 
@@ -40,7 +46,7 @@
         return mRows.values();
     }
 
-    /** Returns the number of jobs of a queue that have not started. */
+    /** Returns the number of jobs of a queue that have not started, of all accounts. */
     int pendingCount(String queue) {
         int count = 0;
         for (Row row : mRows.values()) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/Cancellation.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/Cancellation.java
@@ -8,15 +8,18 @@
  * entry that stores it may not have heard of the job yet.
  *
  * @param queue queue that the caller named; a job of another queue is not cancelled; empty for any
+ * @param account client account of the caller; a job of another account is not cancelled; empty for
+ *     none
  */
-public record Cancellation(String queue) {
+public record Cancellation(String queue, String account) {
     /**
      * Encodes the cancellation.
      *
      * @return value of its record
      */
     public byte[] encode() {
-        return new Writer().text(queue).toBytes();
+        Writer writer = new Writer().text(queue);
+        return account.isEmpty() ? writer.toBytes() : writer.text(account).toBytes();
     }
 
     /**
@@ -27,9 +30,10 @@
      */
     public static Cancellation decode(byte[] bytes) {
         try {
-            return new Cancellation(new Reader(bytes).text());
+            Reader reader = new Reader(bytes);
+            return new Cancellation(reader.text(), reader.hasNext() ? reader.text() : "");
         } catch (Reader.MalformedInputException e) {
-            return new Cancellation("");
+            return new Cancellation("", "");
         }
     }
 
@@ -37,9 +41,10 @@
      * Returns whether the cancellation applies to a job.
      *
      * @param submission submission of the job with the id that is cancelled
-     * @return false if the job is in another queue
+     * @return false if the job is in another queue or of another account
      */
     public boolean appliesTo(Submission submission) {
-        return queue.isEmpty() || queue.equals(submission.queue());
+        return queue.isEmpty()
+                || (queue.equals(submission.queue()) && account.equals(submission.account()));
     }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/Submission.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/Submission.java
@@ -12,14 +12,33 @@
  *
  * @param job id chosen by the caller
  * @param queue name of the queue
+ * @param account name of the client account; empty for none
  * @param acceptedWallMillis time of day of the first attempt to submit the job to this entry, in
  *     Unix milliseconds
  * @param spec what to run
  */
-public record Submission(JobId job, String queue, long acceptedWallMillis, JobSpec spec) {
+public record Submission(
+        JobId job, String queue, String account, long acceptedWallMillis, JobSpec spec) {
     private static final int FORMAT = 1;
+    private static final int FIELD_COUNT = 7;
+
+    /** A submission for a client account has the name of the account as one more field. */
+    private static final int ACCOUNT_FIELD_COUNT = 8;
+
     private static final int STEP_FIELD_COUNT = 18;
 
+    /**
+     * Creates a submission without a client account.
+     *
+     * @param job id chosen by the caller
+     * @param queue name of the queue
+     * @param acceptedWallMillis time of day of the first attempt, in Unix milliseconds
+     * @param spec what to run
+     */
+    public Submission(JobId job, String queue, long acceptedWallMillis, JobSpec spec) {
+        this(job, queue, "", acceptedWallMillis, spec);
+    }
+
     /**
      * Encodes the submission, without the id, which is the record's key.
      *
@@ -27,13 +46,17 @@
      */
     public byte[] encode() {
         Writer writer = new Writer();
-        writer.array(7).integer(FORMAT).text(queue).integer(acceptedWallMillis);
+        int fieldCount = account.isEmpty() ? FIELD_COUNT : ACCOUNT_FIELD_COUNT;
+        writer.array(fieldCount).integer(FORMAT).text(queue).integer(acceptedWallMillis);
         writer.text(spec.payload())
                 .integer(spec.repeatCount())
                 .array(2)
                 .integer(spec.firstDueWallMillis())
                 .integer(spec.intervalMillis());
         writer.list(spec.steps(), step -> write(writer, step));
+        if (!account.isEmpty()) {
+            writer.text(account);
+        }
         return writer.toBytes();
     }
 
@@ -47,7 +70,10 @@
      */
     public static Submission decode(JobId job, byte[] bytes) {
         Reader reader = new Reader(bytes);
-        reader.array(7);
+        int fieldCount = reader.array();
+        if (fieldCount != FIELD_COUNT && fieldCount != ACCOUNT_FIELD_COUNT) {
+            throw reader.malformed("a submission has no " + fieldCount + " fields");
+        }
         int format = reader.int32();
         if (format != FORMAT) {
             throw reader.malformed("submission format " + format + " is not known");
@@ -63,6 +89,7 @@
         for (int index = 0; index < steps.length; index++) {
             steps[index] = readStep(reader);
         }
+        String account = fieldCount == ACCOUNT_FIELD_COUNT ? reader.text() : "";
         JobSpec spec =
                 new JobSpec(
                         payload, List.of(steps), repeatCount, firstDueWallMillis, intervalMillis);
@@ -70,7 +97,7 @@
         if (problem.isPresent()) {
             throw reader.malformed(problem.get());
         }
-        return new Submission(job, queue, acceptedWallMillis, spec);
+        return new Submission(job, queue, account, acceptedWallMillis, spec);
     }
 
     private static void write(Writer writer, StepSpec step) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -120,6 +120,7 @@
     private final List<Run> mUncommittedStarts = new ArrayList<>();
     private final OrderQueue mOrders = new OrderQueue();
     private final Scheduler mScheduler;
+    private final AccountControl mAccounts;
     private final FillerController mFillerController;
     private final SlowRunDetector mSlowRunDetector;
     private Map<String, byte[]> mProgress = new HashMap<>();
@@ -192,7 +193,8 @@
         mWorkers =
                 new WorkerRegistry(loop, store, documents, this::newSession, new WorkersListener());
         mFillerController = new FillerController(loop);
-        mScheduler = new Scheduler(mJobs, mFillerController, mPlacementMonitor);
+        mAccounts = new AccountControl(loop, metrics);
+        mScheduler = new Scheduler(mJobs, mAccounts, mFillerController, mPlacementMonitor);
         mSlowRunDetector = new SlowRunDetector(loop);
     }
 
@@ -303,6 +305,7 @@
                         + mJobs.all().size()
                         + " active="
                         + mJobs.active().size());
+        lines.addAll(mAccounts.describe(mJobs.active()));
         mWorkers.all().forEach(worker -> lines.add(worker.describe()));
         return lines;
     }
@@ -334,6 +337,16 @@
         return mJobsFollower.ageMillis();
     }
 
+    /**
+     * Returns how long the oldest job beyond the share of its client account has been waiting for
+     * workers.
+     *
+     * @return milliseconds; 0 if none waits
+     */
+    public long beyondShareWaitMillis() {
+        return mReady ? mAccounts.beyondShareWaitMillis(mJobs.active()) : 0;
+    }
+
     private void depose(String reason) {
         if (mOpen) {
             close();
@@ -363,10 +376,10 @@
         }
         mProgress = new HashMap<>();
         leaseBounds.forEach(this::restoreLeaseBound);
+        mAccounts.loaded(mJobs.all());
         for (Job job : new ArrayList<>(mJobs.all())) {
             job.endedMillis = mLoop.nowMillis();
-            mStatusListener.phaseChanged(
-                    job.submission.job(), job.submission.queue(), job.committedPhase);
+            mStatusListener.phaseChanged(job.submission, job.committedPhase);
             if (job.terminal()) {
                 stopRuns(job);
             }
@@ -470,11 +483,13 @@
         run.task.lastAttempt = Math.max(run.task.lastAttempt, run.attempt);
         run.task.step.job.liveRunCount++;
         run.worker.add(run);
+        mAccounts.attached(run);
     }
 
     private void detach(Run run) {
         run.worker.remove(run);
         if (run.task.run == run) {
+            mAccounts.detached(run);
             run.task.run = null;
             run.task.awaySinceMillis = run.worker.lastContactMillis();
             run.task.waitingSinceMillis = Long.MAX_VALUE;
@@ -677,7 +692,7 @@
     private void phaseCommitted(Job job, JobPhase phase) {
         if (job.committedPhase != phase) {
             job.committedPhase = phase;
-            mStatusListener.phaseChanged(job.submission.job(), job.submission.queue(), phase);
+            mStatusListener.phaseChanged(job.submission, phase);
             long ageMillis = mLoop.wallMillis() - job.submission.acceptedWallMillis();
             if (phase == JobPhase.RUNNING) {
                 mMetrics.recordFirstStart(ageMillis);
@@ -1069,12 +1084,12 @@
                 return;
             }
             job.knownSinceMillis = mLoop.nowMillis();
+            mAccounts.arrived(job);
             if (job.phase == JobPhase.CANCELLED) {
                 LogEvent.JOB_CANCELLED.log(job.submission.job(), job.liveRunCount);
                 stopRuns(job);
             } else {
-                mStatusListener.phaseChanged(
-                        job.submission.job(), job.submission.queue(), job.committedPhase);
+                mStatusListener.phaseChanged(job.submission, job.committedPhase);
             }
         }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Job.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Job.java
@@ -1,6 +1,7 @@
 package org.hornbeamward.dispatch.lead;
 
 import java.util.function.Consumer;
+import org.hornbeamward.dispatch.account.ClientAccount;
 import org.hornbeamward.dispatch.config.QueueConfig;
 import org.hornbeamward.dispatch.decide.JobOrder;
 import org.hornbeamward.dispatch.job.JobPhase;
@@ -15,6 +16,12 @@
     /** Configuration of its queue, from the newest configuration that contains the queue. */
     public @Nullable QueueConfig queue;
 
+    /** Its client account, from the newest configuration that contains the account. */
+    public @Nullable ClientAccount account;
+
+    /** Whether the job lies beyond the share of its account, so that it goes behind others. */
+    public boolean beyondShare;
+
     public JobPhase phase = JobPhase.QUEUED;
 
     /** Phase that is committed to the store; only this one is reported to callers. */
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
@@ -32,14 +32,21 @@
 
     void configure(ClusterConfig config) {
         mConfig = config;
-        mActive.forEach(this::refreshQueue);
+        mActive.forEach(this::applyConfig);
     }
 
-    private void refreshQueue(Job job) {
+    /** A job whose queue or account is no longer configured keeps the last known one. */
+    private void applyConfig(Job job) {
         ClusterConfig config = mConfig;
-        if (config != null && config.queues().containsKey(job.submission.queue())) {
+        if (config == null) {
+            return;
+        }
+        if (config.queues().containsKey(job.submission.queue())) {
             job.queue = config.queues().get(job.submission.queue());
         }
+        config.accounts()
+                .byName(job.submission.account())
+                .ifPresent(account -> job.account = account);
     }
 
     /**
@@ -71,7 +78,7 @@
         }
         try {
             Job job = new Job(Submission.decode(id, value), null);
-            refreshQueue(job);
+            applyConfig(job);
             mJobs.put(id, job);
             mActive.add(job);
             KnownCancellation known = mCancellations.get(id);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
@@ -41,6 +41,9 @@
     private final Counter mPassWorkers;
     private final Counter mPassStarts;
     private final Histogram mOrderDelay;
+    private final Counter mAccess;
+    private final Counter mAccountJobs;
+    private final Counter mAccountLimits;
 
     /** Creates the metrics, all at zero. */
     public NodeMetrics() {
@@ -76,6 +79,18 @@
         mPassStarts = counter("hornbeamward_pass_starts", "tasks placed");
         mOrderDelay =
                 histogram("hornbeamward_order_delay_seconds", "placement of a task to its order");
+        mAccess = counter("hornbeamward_access", "checks of callers' keys by outcome", "outcome");
+        mAccountJobs =
+                Counter.builder()
+                        .name("hornbeamward_account_jobs")
+                        .help("jobs by client account, within its share or beyond it")
+                        .labelNames("account", "share")
+                        .register(mRegistry);
+        mAccountLimits =
+                counter(
+                        "hornbeamward_account_at_limit",
+                        "tasks that waited in a placement pass since their account was at its limit",
+                        "account");
     }
 
     private Counter counter(String name, String help) {
@@ -125,6 +140,34 @@
         mStoring.observe(millis / MILLIS_PER_SECOND);
     }
 
+    /**
+     * Counts a check of a caller's key.
+     *
+     * @param outcome simple name of the outcome's class
+     */
+    public void recordAccess(String outcome) {
+        mAccess.labelValues(outcome).inc();
+    }
+
+    /**
+     * Counts a job of a client account that this leader has received.
+     *
+     * @param account name of the account
+     * @param withinShare whether it lies within the account's share
+     */
+    public void recordAccountJob(String account, boolean withinShare) {
+        mAccountJobs.labelValues(account, withinShare ? "within" : "beyond").inc();
+    }
+
+    /**
+     * Counts a task that waits since its client account is at its limit, once in each pass.
+     *
+     * @param account name of the account
+     */
+    public void recordAccountAtLimit(String account) {
+        mAccountLimits.labelValues(account).inc();
+    }
+
     /**
      * Counts the answer to a start order.
      *
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -156,6 +156,11 @@
         return run;
     }
 
+    /** Returns the name of the client account that the run counts for; empty for none. */
+    String accountName() {
+        return task.step.job.submission.account();
+    }
+
     /** Returns the progress since the run was first observed. */
     RunSpeed.Progress progress() {
         return new RunSpeed.Progress(
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.hornbeamward.dispatch.account.AccountUsage;
+import org.hornbeamward.dispatch.account.ClientAccount;
 import org.hornbeamward.dispatch.config.ClusterConfig;
 import org.hornbeamward.dispatch.config.QueueConfig;
 import org.hornbeamward.dispatch.decide.JobOrder;
@@ -38,14 +40,20 @@
     private static final double WORTHWHILE_INTERFERENCE_SHARE = 0.4;
 
     private final JobTable mJobs;
+    private final AccountControl mAccounts;
     private final FillerController mFillerController;
     private final PlacementMonitor mMonitor;
     private final WaitingTasks mWaitingTasks = new WaitingTasks();
     private Set<FailureDomainId> mDomainsOut = Set.of();
     private @Nullable ClusterConfig mConfig;
 
-    Scheduler(JobTable jobs, FillerController fillerController, PlacementMonitor monitor) {
+    Scheduler(
+            JobTable jobs,
+            AccountControl accounts,
+            FillerController fillerController,
+            PlacementMonitor monitor) {
         mJobs = jobs;
+        mAccounts = accounts;
         mFillerController = fillerController;
         mMonitor = monitor;
     }
@@ -75,6 +83,10 @@
         private @Nullable List<WorkerCandidate> mUsableCandidates;
         private final List<Run> mRuns = new ArrayList<>();
         private final Set<Task> mPlaced = new HashSet<>();
+
+        /** What the tasks take that the pass has placed, by account. */
+        private final AccountUsage mPlannedUsage = new AccountUsage();
+
         private final Map<WorkerSession, WorkerCandidate> mCandidates = new HashMap<>();
         private final Map<Demand.Kind, List<Demand>> mUnplaced = new HashMap<>();
         private @Nullable Resources mLargestRoom;
@@ -327,6 +339,7 @@
                 remainingMillis(job, nowMillis),
                 job.spec().longRunning(),
                 interrupted,
+                job.beyondShare,
                 job.submission.acceptedWallMillis(),
                 imageGroup(job, demand));
     }
@@ -381,7 +394,7 @@
 
     private void keepRoomFree(Pass pass, Task task) {
         QueueConfig queue = task.step.job.queue;
-        if (queue != null) {
+        if (queue != null && isWithinAccountLimit(pass, task)) {
             Placement.chooseToKeepFree(
                             demand(pass, task, queue, "", 0),
                             pass.candidates(),
@@ -444,18 +457,28 @@
         for (Task task : step.tasks) {
             Run run = placeTask(pass, task, attempt, rackOf(members, step), 0);
             if (run == null) {
-                members.forEach(member -> pass.candidate(member.worker).remove(member));
+                members.forEach(member -> releaseRoom(pass, member));
                 return;
             }
             members.add(run);
-            pass.candidate(run.worker).add(run);
+            reserveRoom(pass, run);
         }
         for (Run run : members) {
-            pass.candidate(run.worker).remove(run);
+            releaseRoom(pass, run);
             addRun(pass, run);
         }
     }
 
+    private static void reserveRoom(Pass pass, Run run) {
+        pass.candidate(run.worker).add(run);
+        pass.mPlannedUsage.add(run.accountName(), run.task.step.spec.size());
+    }
+
+    private static void releaseRoom(Pass pass, Run run) {
+        pass.candidate(run.worker).remove(run);
+        pass.mPlannedUsage.remove(run.accountName(), run.task.step.spec.size());
+    }
+
     private static String rackOf(List<Run> members, Step step) {
         return step.spec.sameRack() && !members.isEmpty()
                 ? members.get(0).worker.entry().rack()
@@ -465,7 +488,7 @@
     private void addRun(Pass pass, Run run) {
         pass.mRuns.add(run);
         pass.mPlaced.add(run.task);
-        pass.candidate(run.worker).add(run);
+        reserveRoom(pass, run);
         run.task.step.job.placed = true;
     }
 
@@ -473,7 +496,7 @@
             Pass pass, Task task, int attempt, String rack, long waitedMillis) {
         Step step = task.step;
         QueueConfig queue = step.job.queue;
-        if (queue == null) {
+        if (queue == null || !isWithinAccountLimit(pass, task)) {
             return null;
         }
         Demand demand = demand(pass, task, queue, rack, waitedMillis);
@@ -491,6 +514,15 @@
         return new Run(task, attempt, chosen.get().worker(), "");
     }
 
+    /** Returns whether a task keeps its account within its limit; a task that moves does. */
+    private boolean isWithinAccountLimit(Pass pass, Task task) {
+        ClientAccount account = task.step.job.account;
+        return account == null
+                || task.run != null
+                || mAccounts.admits(
+                        account, pass.mPlannedUsage.running(account.name()), task.step.spec.size());
+    }
+
     private static Demand demand(
             Pass pass, Task task, QueueConfig queue, String rack, long waitedMillis) {
         Step step = task.step;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/StatusListener.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/StatusListener.java
@@ -1,6 +1,7 @@
 package org.hornbeamward.dispatch.lead;
 
 import org.hornbeamward.dispatch.job.JobPhase;
+import org.hornbeamward.dispatch.job.Submission;
 import org.hornbeamward.lib.JobId;
 
 /** Receives the job states that may be reported to callers. */
@@ -8,11 +9,10 @@
     /**
      * A phase of a job was committed or loaded.
      *
-     * @param job id of the job
-     * @param queue name of its queue
+     * @param submission submission of the job
      * @param phase phase that is committed to the store
      */
-    void phaseChanged(JobId job, String queue, JobPhase phase);
+    void phaseChanged(Submission submission, JobPhase phase);
 
     /**
      * An ended job was removed because its state need not be available any longer.
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/TopicFollower.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/TopicFollower.java
@@ -59,6 +59,7 @@
     private boolean mAvailable = true;
     private long mNextOffset;
     private @Nullable ClockReading mUpToDate;
+    private @Nullable ClockReading mLoadStarted;
     private long mAvailableSinceMillis = Long.MAX_VALUE;
     private long mAnsweredMillis = Long.MIN_VALUE;
     private @Nullable Map<String, byte[]> mLoadedPages;
@@ -172,7 +173,7 @@
                     // The pages are not a consistent snapshot, so changes are read from the end
                     // offset of the first page on.
                     mNextOffset = page.endOffset();
-                    mUpToDate = sent;
+                    mLoadStarted = sent;
                 }
                 String last = afterKey;
                 for (KeyedRecord record : page.records()) {
@@ -189,6 +190,8 @@
                 } else {
                     mLoadedPages = null;
                     mLoaded = true;
+                    // Not before: until then the listener knows the content of an earlier time.
+                    mUpToDate = mLoadStarted;
                     Map<String, byte[]> newest = loadedPages;
                     deliver(() -> mListener.loaded(newest));
                     read();
--- a/org.hornbeamward/src/org/hornbeamward/codec/Reader.java
+++ b/org.hornbeamward/src/org/hornbeamward/codec/Reader.java
@@ -241,6 +241,15 @@
         return new Resources(integer(), integer(), int32());
     }
 
+    /**
+     * Returns whether a further value follows.
+     *
+     * @return false at the end of the input
+     */
+    public boolean hasNext() {
+        return remainingBytes() > 0;
+    }
+
     /** Checks that no bytes remain. */
     public void end() {
         if (remainingBytes() != 0) {
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -67,6 +67,8 @@
     CONFIG_IN_FORCE(400, Level.INFO, "configuration version {} is in force"),
     /** An operator's record changed. */
     OPERATOR_RECORD(402, Level.INFO, "operator record {} is {}"),
+    /** A client account of the configuration, or a key of it, is not used. */
+    ACCOUNT_SKIPPED(403, Level.ERROR, "client account {} is not used: {}"),
     /** A failure domain was taken out of service or brought back. */
     DOMAIN_CHANGED(401, Level.INFO, "failure domain {} in service: {}, version {}"),
     /** A job was rejected because it can never run. */
@@ -124,6 +126,14 @@
             525,
             Level.WARN,
             "calls to workers within {} ms: {} answered, up to {} ms late, {} not; {} in flight"),
+    /** Tasks of a client account wait, since the account has reached its limit. */
+    ACCOUNT_AT_LIMIT(
+            530,
+            Level.INFO,
+            "tasks of client account {} wait: it has {} running, and {} more exceed its limit {}"),
+    /** A job lies beyond the share of its client account and goes behind the other jobs. */
+    ACCOUNT_BEYOND_SHARE(
+            531, Level.INFO, "job {} lies beyond the share of client account {}: {} jobs a second"),
     /** Tasks of one kind are ready to start and find no worker. */
     TASKS_WAITING(
             526,
