Let the test of shares tell the order of arrival from that of shares

Cause: with tasks of a second, the order by latest start put the job of the usual account first by itself, so the test passed although shares were ignored. With tasks of 0.4 s it fails then.

Three faults were planted in a scratch copy: age of the keys ignored (found by AccessCheckTest and two tests of EntryNodeTest), sums from zero at a change of leaders (AccountLimitTest), shares ignored in the order (DecisionsTest and, since this change, AccountLimitTest).

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/AccountLimitTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/AccountLimitTest.java
@@ -145,17 +145,17 @@
     /** Load pattern: an account sends many times its share while the workers are full. */
     @Test
     void jobsBeyondAShareGoBehindThoseOfOtherAccounts() {
-        worker("w1").taskMillis = 1_000;
-        worker("w2").taskMillis = 1_000;
+        worker("w1").taskMillis = 400;
+        worker("w2").taskMillis = 400;
         mFixture.startDispatcher(1);
         mFixture.submit("first", step(8));
         mFixture.mLoop.advance(200);
         for (int number = 0; number < 6; number++) {
             mFixture.submitFor("hot", "hot" + number, step(4));
         }
-        mFixture.mLoop.advance(200);
+        mFixture.mLoop.advance(100);
         JobId usual = mFixture.submitFor("usual", "usual", step(4));
-        mFixture.mLoop.advance(1_900);
+        mFixture.mLoop.advance(1_250);
 
         assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(usual));
         mFixture.mLoop.advance(6_000);
