Lead on while the store does not take the resignation

Cause: a leader that was told to stop closed at once and then resigned.

Change: the leader suspends orders and leases for the append of its resignation, and leads on if the append is refused; it tries again once the store confirms it. Without an answer it leads no longer, since the record may exist and a successor counts on it that nothing is granted any more.

Callers that the store refuses are asked to wait 0.6 of the time for which it has been away, at most 3 s, and spread over half of that; the fixed second used up their tries together before the store was back.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.random.RandomGenerator;
 import org.hornbeamward.codec.Reader;
 import org.hornbeamward.dispatch.lead.FormerLeader;
@@ -152,15 +153,18 @@
         mFollower.stop();
     }
 
-    /** Appends a resignation so that another entry can become the leader without a timeout. */
-    void resign(long epoch) {
+    /**
+     * Appends a resignation so that another entry can become the leader without a timeout.
+     *
+     * @return the outcome of the append; unless it was refused, another entry may lead from now on
+     */
+    CompletableFuture<AppendOutcome> resign(long epoch) {
         LeaderRecord record = new LeaderRecord(mInstance, mIncarnation, mFeedAddress, epoch, true);
-        mStore.append(
-                        Topic.LEADER,
-                        List.of(new KeyedRecord(LeaderRecord.KEY, record.encode())),
-                        new Store.Condition.EndsAt(mFollower.nextOffset()),
-                        ANSWER_TIMEOUT_MILLIS)
-                .thenAccept(outcome -> LogEvent.LEADER_DEPOSED.log(epoch, "resigned: " + outcome));
+        return mStore.append(
+                Topic.LEADER,
+                List.of(new KeyedRecord(LeaderRecord.KEY, record.encode())),
+                new Store.Condition.EndsAt(mFollower.nextOffset()),
+                ANSWER_TIMEOUT_MILLIS);
     }
 
     /** Records that this entry no longer leads in an epoch. */
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -34,6 +34,7 @@
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Loop;
 import org.hornbeamward.dispatch.port.Store;
+import org.hornbeamward.dispatch.port.Store.AppendOutcome;
 import org.hornbeamward.dispatch.port.Topic;
 import org.hornbeamward.dispatch.port.WorkerControl;
 import org.hornbeamward.dispatch.store.RecordHandler;
@@ -86,6 +87,26 @@
      */
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
+    /**
+     * Longest Retry-After base: callers give up after some tries, and the last has to be in time.
+     */
+    private static final long MAX_RETRY_AFTER_MILLIS = 3_000;
+
+    /** Part of the time for which the store has been away that a caller is asked to wait. */
+    private static final double RETRY_AFTER_OUTAGE_SHARE = 0.6;
+
+    /** Returning callers are spread over this part of the time that they wait. */
+    private static final double RETRY_AFTER_SPREAD = 0.5;
+
+    /** Delay between two attempts to hand over the lead. */
+    private static final long HAND_OVER_RETRY_MILLIS = 200;
+
+    /**
+     * Age of the store's last confirmation up to which a leader that stops tries to resign. Without
+     * an answer the outcome of the attempt stays unknown, and it can lead no longer.
+     */
+    private static final long MAX_UNCONFIRMED_AT_RESIGNATION_MILLIS = 1_500;
+
     private static final double MILLIS_PER_SECOND = 1_000.0;
 
     /** Outcome of a submission. */
@@ -251,16 +272,51 @@
         sendHeartbeats();
     }
 
-    /** Resigns as leader and stops taking part in elections; callers are still served. */
-    public void stop() {
+    /**
+     * Resigns as leader and stops taking part in elections; callers are still served. While the
+     * store does not take the resignation no entry can be elected, so this one goes on leading and
+     * renewing leases until then, or until the process ends.
+     *
+     * @return completed once this entry no longer leads
+     */
+    public CompletableFuture<Void> stop() {
         mStopping = true;
+        CompletableFuture<Void> handedOver = new CompletableFuture<>();
+        handOver(handedOver);
+        return handedOver;
+    }
+
+    private void handOver(CompletableFuture<Void> handedOver) {
         Dispatcher dispatcher = mDispatcher;
-        if (dispatcher != null) {
-            dispatcher.close();
+        if (dispatcher == null) {
+            mElection.stop();
+            handedOver.complete(null);
+        } else if (dispatcher.unconfirmedMillis() > MAX_UNCONFIRMED_AT_RESIGNATION_MILLIS) {
+            mLoop.schedule(HAND_OVER_RETRY_MILLIS, () -> handOver(handedOver));
+        } else {
+            // A successor counts on it that nothing is granted or ordered once the record exists.
+            dispatcher.suspend();
+            mElection
+                    .resign(mEpoch)
+                    .thenAccept(outcome -> resigned(dispatcher, outcome, handedOver));
+        }
+    }
+
+    private void resigned(
+            Dispatcher dispatcher, AppendOutcome outcome, CompletableFuture<Void> handedOver) {
+        if (outcome instanceof AppendOutcome.Refused) {
+            LogEvent.LEADER_LEADS_ON.log(mEpoch, outcome);
+            dispatcher.resume();
+            mLoop.schedule(HAND_OVER_RETRY_MILLIS, () -> handOver(handedOver));
+            return;
+        }
+        LogEvent.LEADER_DEPOSED.log(mEpoch, "resigned: " + outcome);
+        dispatcher.close();
+        if (mDispatcher == dispatcher) {
             mDispatcher = null;
-            mElection.resign(mEpoch);
         }
         mElection.stop();
+        handedOver.complete(null);
     }
 
     /**
@@ -421,11 +477,27 @@
                 yield new SubmitOutcome.Accepted();
             }
             case JobsWriter.Outcome.NotStored notStored ->
-                    new SubmitOutcome.Refused(notStored.reason(), RETRY_AFTER_MILLIS);
+                    new SubmitOutcome.Refused(notStored.reason(), retryAfterMillis());
             case JobsWriter.Outcome.Unknown unknown -> new SubmitOutcome.Unknown(unknown.reason());
         };
     }
 
+    /**
+     * Returns when a caller whose request the store has not taken may try again. The longer the
+     * store has been away, the longer the caller waits, so that its tries last until the store is
+     * back, and callers that were refused together do not return together.
+     */
+    private long retryAfterMillis() {
+        long outageMillis = mOperatorFollower.ageMillis() - OPERATOR_LONG_POLL_WAIT_MILLIS;
+        double waitMillis =
+                Math.clamp(
+                        RETRY_AFTER_OUTAGE_SHARE * outageMillis,
+                        RETRY_AFTER_MILLIS,
+                        MAX_RETRY_AFTER_MILLIS);
+        double spread = outageMillis <= 0 ? 0 : RETRY_AFTER_SPREAD * mRandom.nextDouble();
+        return (long) (waitMillis * (1 + spread));
+    }
+
     /**
      * Returns the phase of a job.
      *
@@ -499,10 +571,10 @@
                                             new JobOutcome.Known(JobPhase.CANCELLED);
                                     case JobsWriter.Outcome.NotStored notStored ->
                                             new JobOutcome.Unavailable(
-                                                    notStored.reason(), RETRY_AFTER_MILLIS);
+                                                    notStored.reason(), retryAfterMillis());
                                     case JobsWriter.Outcome.Unknown unknown ->
                                             new JobOutcome.Unavailable(
-                                                    unknown.reason(), RETRY_AFTER_MILLIS);
+                                                    unknown.reason(), retryAfterMillis());
                                 });
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -126,6 +126,7 @@
     private Map<String, byte[]> mProgress = new HashMap<>();
     private boolean mOpen = true;
     private boolean mReady;
+    private boolean mSuspended;
     private boolean mPassScheduled;
 
     /** Monotonic time at which the next placement pass was first requested. */
@@ -248,6 +249,18 @@
         mLoop.schedule(TICK_INTERVAL_MILLIS, this::confirmWhileLoading);
     }
 
+    /** Grants no leases and sends no orders until {@link #resume} is called. */
+    public void suspend() {
+        mSuspended = true;
+    }
+
+    /** Leads on after a suspension. */
+    public void resume() {
+        mSuspended = false;
+        requestPass();
+        sendOrders();
+    }
+
     /** Stops scheduling and sends no more orders. */
     public void close() {
         mOpen = false;
@@ -595,7 +608,7 @@
     }
 
     private void runPlacementPass() {
-        if (!mOpen || !mReady) {
+        if (!mOpen || !mReady || mSuspended) {
             return;
         }
         if (!mWriter.isBusy()) {
@@ -707,7 +720,7 @@
     }
 
     private void sendOrders() {
-        if (!mOpen || mOrders.isEmpty() || mAwaitingConfirmation) {
+        if (!mOpen || mSuspended || mOrders.isEmpty() || mAwaitingConfirmation) {
             return;
         }
         if (mWriter.unconfirmedMillis() > FRESH_CONFIRMATION_MILLIS) {
@@ -805,7 +818,10 @@
 
     @Override
     public boolean mayOrder() {
-        return mOpen && mReady && mWriter.unconfirmedMillis() < MAX_UNCONFIRMED_MILLIS;
+        return mOpen
+                && mReady
+                && !mSuspended
+                && mWriter.unconfirmedMillis() < MAX_UNCONFIRMED_MILLIS;
     }
 
     @Override
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -57,6 +57,8 @@
     LEADER_READY(311, Level.INFO, "epoch {} has loaded {} jobs, {} live runs and {} workers"),
     /** This entry no longer leads. */
     LEADER_DEPOSED(312, Level.WARN, "no longer leads at epoch {}: {}"),
+    /** The store has refused the resignation of this entry, which leads on. */
+    LEADER_LEADS_ON(316, Level.INFO, "leads on at epoch {}, since it cannot resign yet: {}"),
     /** Another entry leads. */
     LEADER_CHANGED(313, Level.INFO, "entry {} leads at epoch {}"),
     /** No message was received on the leader's feed for too long. */
