--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -87,17 +87,6 @@
      */
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
-    /**
-     * Longest Retry-After base: callers give up after some tries, and the last has to be in time.
-     */
-    private static final long MAX_RETRY_AFTER_MILLIS = 3_000;
-
-    /** Part of the time for which the store has been away that a caller is asked to wait. */
-    private static final double RETRY_AFTER_OUTAGE_SHARE = 0.6;
-
-    /** Returning callers are spread over this part of the time that they wait. */
-    private static final double RETRY_AFTER_SPREAD = 0.5;
-
     /** Delay between two attempts to hand over the lead. */
     private static final long HAND_OVER_RETRY_MILLIS = 200;
 
@@ -477,27 +466,11 @@
                 yield new SubmitOutcome.Accepted();
             }
             case JobsWriter.Outcome.NotStored notStored ->
-                    new SubmitOutcome.Refused(notStored.reason(), retryAfterMillis());
+                    new SubmitOutcome.Refused(notStored.reason(), RETRY_AFTER_MILLIS);
             case JobsWriter.Outcome.Unknown unknown -> new SubmitOutcome.Unknown(unknown.reason());
         };
     }
 
-    /**
-     * Returns when a caller whose request the store has not taken may try again. The longer the
-     * store has been away, the longer the caller waits, so that its tries last until the store is
-     * back, and callers that were refused together do not return together.
-     */
-    private long retryAfterMillis() {
-        long outageMillis = mOperatorFollower.ageMillis() - OPERATOR_LONG_POLL_WAIT_MILLIS;
-        double waitMillis =
-                Math.clamp(
-                        RETRY_AFTER_OUTAGE_SHARE * outageMillis,
-                        RETRY_AFTER_MILLIS,
-                        MAX_RETRY_AFTER_MILLIS);
-        double spread = outageMillis <= 0 ? 0 : RETRY_AFTER_SPREAD * mRandom.nextDouble();
-        return (long) (waitMillis * (1 + spread));
-    }
-
     /**
      * Returns the phase of a job.
      *
@@ -571,10 +544,10 @@
                                             new JobOutcome.Known(JobPhase.CANCELLED);
                                     case JobsWriter.Outcome.NotStored notStored ->
                                             new JobOutcome.Unavailable(
-                                                    notStored.reason(), retryAfterMillis());
+                                                    notStored.reason(), RETRY_AFTER_MILLIS);
                                     case JobsWriter.Outcome.Unknown unknown ->
                                             new JobOutcome.Unavailable(
-                                                    unknown.reason(), retryAfterMillis());
+                                                    unknown.reason(), RETRY_AFTER_MILLIS);
                                 });
     }
 
