Let fillers wait where they tip serving tasks over

Cause: only a filler that would run at less than half its speed waited for another worker.

Change: a filler waits, at most 4 s as before, where it is expected to push more than 0.4 serving tasks over their targets; that is where it costs callers more than it earns.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/InterferenceModelTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/InterferenceModelTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -167,6 +168,26 @@
         assertTrue(near.interference(light) > far.interference(light) + 0.1);
     }
 
+    /**
+     * Load pattern: a burst of fillers that take little headroom each, on workers whose serving
+     * tasks are at the peaks of their load. Guards against the one that tips several tasks over:
+     * only heavy fillers waited for another worker.
+     */
+    @Test
+    void aLightFillerWaitsWhereItTipsSeveralServingTasksOver() {
+        report(0, 10);
+        StepSpec light = filler("light", 7_000);
+        assertTrue(servingTasks(6, 1.2).isHarmedBy(light));
+        assertFalse(servingTasks(6, 2.5).isHarmedBy(light));
+        assertFalse(servingTasks(1, 1.6).isHarmedBy(light));
+        assertTrue(servingTasks(6, 1.6).isHarmedBy(light));
+    }
+
+    private Neighbors servingTasks(int count, double headroom) {
+        Neighbors.Serving task = new Neighbors.Serving("serving", headroom);
+        return new Neighbors(mModel, Collections.nCopies(count, task), Map.of());
+    }
+
     /**
      * Guards against abrupt changes of pace after a change of leaders: all workers are then polled
      * within 0.1 s, and the noise of so few reports was taken for a steep fall of the headroom.
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Neighbors.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Neighbors.java
@@ -28,6 +28,13 @@
      */
     private static final double MIN_AVAILABLE_COST_SHARE = 0.5;
 
+    /**
+     * Interference from which a filler costs more than it earns. A serving task over its target
+     * through a filler counts as four that are lost, which is worth about as much as 2.5 running
+     * fillers.
+     */
+    private static final double MAX_HARMLESS_INTERFERENCE = 0.4;
+
     /** Width of the range of headroom over which a missed target turns from unlikely to likely. */
     private static final double UNCERTAIN_MARGIN_RANGE = 1.0;
 
@@ -114,10 +121,13 @@
     }
 
     /**
-     * Returns whether a filler would have to run at less than half its full speed.
+     * Returns whether a filler had better wait for another worker: it would have to run at less
+     * than half its full speed, or would cost the serving tasks more than it earns. Load pattern: a
+     * burst of fillers, each of which takes little headroom, on workers whose serving tasks are at
+     * the peaks of their load.
      *
      * @param filler step of the filler
-     * @return true if a serving task of the worker lacks the headroom
+     * @return true if the serving tasks of the worker lack the headroom
      */
     public boolean isHarmedBy(StepSpec filler) {
         evaluate(filler);
@@ -125,6 +135,10 @@
     }
 
     private boolean computeHarmed(StepSpec filler) {
+        return mInterference > MAX_HARMLESS_INTERFERENCE || lacksHalfItsHeadroom(filler);
+    }
+
+    private boolean lacksHalfItsHeadroom(StepSpec filler) {
         for (Map.Entry<String, List<Double>> margins : mMargins.entrySet()) {
             double cost = headroomCost(margins.getKey(), filler);
             if (cost > NEGLIGIBLE_COST
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
@@ -116,10 +116,10 @@
         double interference(StepSpec step);
 
         /**
-         * Returns whether a filler would have to run at less than half its full speed.
+         * Returns whether a filler had better wait for another worker.
          *
          * @param step step of the filler
-         * @return true if a serving task lacks the headroom
+         * @return true if the serving tasks lack the headroom; see {@link Neighbors#isHarmedBy}
          */
         boolean isHarmedBy(StepSpec step);
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
@@ -89,7 +89,7 @@
         mAccountLimits =
                 counter(
                         "hornbeamward_account_at_limit",
-                        "tasks that waited in a placement pass since their account was at its limit",
+                        "tasks that wait in a pass since their account is at its limit",
                         "account");
     }
 
