--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -294,7 +294,7 @@
         } else if (dispatcher.unconfirmedMillis() > MAX_UNCONFIRMED_AT_RESIGNATION_MILLIS) {
             mLoop.schedule(HAND_OVER_RETRY_MILLIS, () -> handOver(handedOver));
         } else {
-            // A successor counts on it that nothing is granted or ordered once the record exists.
+            // Once the record exists, a successor assumes that nothing more is granted or ordered.
             dispatcher.suspend();
             mElection
                     .resign(mEpoch)
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -466,9 +466,9 @@
     /** Holds room for a large task that fits on no worker, if the deployment asks for it. */
     private void holdRoom(Pass pass, Task task) {
         QueueConfig queue = task.step.job.queue;
-        boolean useful = task.step.job.tier == JobOrder.Tier.IN_TIME;
+        boolean inTime = task.step.job.tier == JobOrder.Tier.IN_TIME;
         if (!mOptions.looksAhead()
-                || !useful
+                || !inTime
                 || queue == null
                 || pass.mHoldCount >= MAX_HOLD_COUNT
                 || !isWithinAccountLimit(pass, task)) {
