review: case 8, a late start and a restart lead to two runs

Tried: one start is left unanswered and carried out 5 s later, by the incarnation that the minion has after a crash meanwhile. Seen: the task runs there for 6 s beside its later run.

--- a/review/harness-2/Minion.java
+++ b/review/harness-2/Minion.java
@@ -84,6 +84,8 @@
     private long mToken;
     private long mLeaseMillis;
     private boolean mLogsStarts = true;
+    private volatile String mHeldJob = "";
+    private volatile Map<String, Object> mHeldStart;
     private volatile boolean mUp = true;
 
     Minion(Store store, int number, long cpu, long memory, Work work, List<Run> allRuns)
@@ -151,6 +153,33 @@
         mServer.stop(0);
     }
 
+    /** The next start of a task of a job gets no answer; it is kept and not carried out yet. */
+    void holdStartOf(String job) {
+        mHeldJob = job;
+    }
+
+    /** Returns the start that got no answer; null if none did. */
+    Map<String, Object> heldStart() {
+        return mHeldStart;
+    }
+
+    /** Carries out a start that an earlier call asked for, late and without an answer. */
+    void carryOutLate(Map<String, Object> body) {
+        long[] status = {200};
+        String fields;
+        synchronized (this) {
+            check();
+            long token = Json.number(body, "fencing_token");
+            if (token < mToken) {
+                fields = refuse(status, "fence");
+            } else {
+                mToken = token;
+                fields = start(body, status);
+            }
+        }
+        Log.line(mId, "late start of " + body + ": " + status[0] + fields + " at " + clock());
+    }
+
     String id() {
         return mId;
     }
@@ -241,6 +270,14 @@
             Web.reply(call, 421, "{\"clock_ms\":" + clock() + "}");
             return;
         }
+        if (!mHeldJob.isEmpty() && Json.text(body, "spec").equals(mHeldJob)) {
+            mHeldJob = "";
+            mHeldStart = body;
+            Log.line(mId, "leaves the start of " + Json.text(body, "task") + " unanswered");
+            Log.sleep(10_000);
+            call.close();
+            return;
+        }
         long[] status = {200};
         String fields;
         synchronized (this) {
@@ -316,6 +353,9 @@
         } else {
             mClosed.merge(task, attempt, Math::max);
         }
+        if (mLogsStarts) {
+            Log.line(mId, "stop of " + task + " run " + attempt);
+        }
         return "";
     }
 
