Log and measure how long tasks that last are away, and what they wait for

Change: no decision changes. AwayTasks follows each long-running task from when it was last seen at work until a worker confirms a run again (TimeAway). - HW533 when it runs again after more than 1 s, or an unknown time: the total, the time until the run was given up, without a run, in starts that did not succeed (number, last reason) and in the start that did. WorkerSession.leaseEndMillis and the waiting time in Scheduler.placeTasks are split into named parts with the same results.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/Placement.java
@@ -239,6 +239,24 @@
         return Optional.ofNullable(best);
     }
 
+    /**
+     * Returns how many workers are eligible for a task.
+     *
+     * @param demand task and its requirements
+     * @param candidates workers that accept new tasks
+     * @param sameStepCount number of tasks of the same step on a worker
+     * @param <C> type of the candidates
+     * @return number of workers that can run the task and have the room
+     */
+    public static <C extends Candidate> int eligibleCount(
+            Demand demand, Iterable<C> candidates, ToIntFunction<C> sameStepCount) {
+        int count = 0;
+        for (C candidate : candidates) {
+            count += isEligible(demand, candidate, sameStepCount) ? 1 : 0;
+        }
+        return count;
+    }
+
     /**
      * Returns whether there is room for a task twice, on two workers or on one.
      *
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/AccountControl.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/AccountControl.java
@@ -64,6 +64,11 @@
         return false;
     }
 
+    /** Returns, without counting it, whether an account may not run a further task now. */
+    boolean isAtLimit(ClientAccount account, Resources size) {
+        return !account.admits(mUsage.running(account.name()), size);
+    }
+
     /** Determines whether a new job lies within the share of its account. */
     void arrived(Job job) {
         ClientAccount account = job.account;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -122,6 +122,7 @@
     private final OrderQueue mOrders = new OrderQueue();
     private final Scheduler mScheduler;
     private final AccountControl mAccounts;
+    private final AwayTasks mAwayTasks;
     private final FillerController mFillerController;
     private final SlowRunDetector mSlowRunDetector;
     private Map<String, byte[]> mProgress = new HashMap<>();
@@ -197,6 +198,7 @@
         mFillerController = new FillerController(loop);
         mAccounts = new AccountControl(loop, metrics);
         mScheduler = new Scheduler(mJobs, mAccounts, mFillerController, mPlacementMonitor);
+        mAwayTasks = new AwayTasks(loop, metrics, mJobs, mWorkers, mScheduler, mAccounts);
         mSlowRunDetector = new SlowRunDetector(loop);
     }
 
@@ -269,6 +271,7 @@
         mJobsFollower.stop();
         mProgressFollower.stop();
         mWorkers.close();
+        mAwayTasks.close();
     }
 
     /**
@@ -409,6 +412,7 @@
             mJobs.deactivateIfEnded(job);
         }
         mStatusListener.allPhasesReported();
+        mAwayTasks.takenOver();
         LogEvent.LEADER_READY.log(mEpoch, mJobs.all().size(), inherited, mWorkers.size());
         tick();
     }
@@ -507,6 +511,7 @@
         run.task.step.job.liveRunCount++;
         run.worker.add(run);
         mAccounts.attached(run);
+        mAwayTasks.runPlaced(run);
     }
 
     private void detach(Run run) {
@@ -542,12 +547,21 @@
         }
         removeEndedJobs();
         mPlacementMonitor.logIfDue(mOrders.size());
+        checkAwayTasks();
         if (!mWriter.isBusy() && mWriter.unconfirmedMillis() > CONFIRM_AFTER_MILLIS) {
             commit();
         }
         runPlacementPass();
     }
 
+    private void checkAwayTasks() {
+        try {
+            mAwayTasks.checkIfDue(unconfirmedMillis());
+        } catch (RuntimeException e) {
+            LogEvent.DUTY_FAILED.log(e, "report on tasks that are away");
+        }
+    }
+
     private void checkWorker(WorkerSession worker) {
         if (worker.silent() && !worker.runs().isEmpty() && worker.leasesLapsed()) {
             loseWorker(worker, "its leases have lapsed and it does not answer");
@@ -848,6 +862,7 @@
 
     @Override
     public void runConfirmed(Run run) {
+        mAwayTasks.runConfirmed(run);
         noteStarted(run.task.step.job);
         if (run.stopping || run.task.step.job.terminal()) {
             run.worker.stop(run);
@@ -870,6 +885,7 @@
     @Override
     public void runGone(Run run, String reason) {
         LogEvent.RUN_GONE.log(run, reason);
+        mAwayTasks.runGone(run, reason);
         detach(run);
         requestPass();
     }
@@ -897,6 +913,7 @@
             if (end.kind() == WorkerControl.EndKind.DONE) {
                 mSlowRunDetector.runDone(run);
             }
+            mAwayTasks.runEnded(run, end.kind());
             detach(run);
         }
         if (!task.done) {
@@ -1019,6 +1036,7 @@
         int endedCount = 0;
         for (Run run : new ArrayList<>(ended.runs())) {
             if (run.mayBeOnLaterIncarnation()) {
+                mAwayTasks.runMoved(run);
                 detach(run);
                 attach(run.onLaterIncarnation(successor));
                 movedCount++;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
@@ -1,6 +1,7 @@
 package org.hornbeamward.dispatch.lead;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -21,6 +22,14 @@
         0.0001, 0.0002, 0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 1
     };
 
+    /**
+     * Bucket bounds of the time away. A task counts as lost 9 s after its last run, and leases
+     * lapse 6 to 10 s after it.
+     */
+    private static final double[] AWAY_BOUNDS_SECONDS = {
+        0.25, 0.5, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 15, 20, 30, 60
+    };
+
     private static final double NANOS_PER_SECOND = 1_000_000_000.0;
 
     private static final double MILLIS_PER_SECOND = 1_000.0;
@@ -45,6 +54,8 @@
     private final Counter mAccess;
     private final Counter mAccountJobs;
     private final Counter mAccountLimits;
+    private final Histogram mTimeAway;
+    private final Gauge mTasksAway;
 
     /** Creates the metrics, all at zero. */
     public NodeMetrics() {
@@ -93,6 +104,21 @@
                         "hornbeamward_account_at_limit",
                         "tasks that wait in a pass since their account is at its limit",
                         "account");
+        mTimeAway =
+                Histogram.builder()
+                        .name("hornbeamward_away_seconds")
+                        .help(
+                                "time from when a long-running task was last seen at work, or from"
+                                        + " the takeover, until a worker confirms a run again")
+                        .labelNames("since")
+                        .classicOnly()
+                        .classicUpperBounds(AWAY_BOUNDS_SECONDS)
+                        .register(mRegistry);
+        mTasksAway =
+                Gauge.builder()
+                        .name("hornbeamward_tasks_away")
+                        .help("long-running tasks that have been away for over 3 s; at the leader")
+                        .register(mRegistry);
     }
 
     private Counter counter(String name, String help) {
@@ -175,6 +201,27 @@
         mAccountLimits.labelValues(account).inc();
     }
 
+    /**
+     * Records how long a long-running task was away at the moment at which it runs again.
+     *
+     * @param millis time since it was last seen at work, or since the takeover
+     * @param sinceKnown whether this leader has seen it at work
+     */
+    public void recordTimeAway(long millis, boolean sinceKnown) {
+        mTimeAway
+                .labelValues(sinceKnown ? "last_seen" : "takeover")
+                .observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Sets the number of long-running tasks that have been away for long and do not run yet.
+     *
+     * @param taskCount number of tasks; 0 at an entry that does not lead
+     */
+    public void setTasksAway(int taskCount) {
+        mTasksAway.set(taskCount);
+    }
+
     /**
      * Counts the answer to a start order.
      *
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -52,6 +52,11 @@
     /** Monotonic time at which the worker first confirmed that the run is present. */
     public long confirmedMillis;
 
+    /**
+     * Monotonic time at which an answer of the worker last showed the run; {@link #NEVER} if none.
+     */
+    public long lastSeenMillis = NEVER;
+
     /** Monotonic time after which a start order without an answer can no longer take effect. */
     public long orderExpiresAtMillis = Long.MAX_VALUE;
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Predicate;
 import org.hornbeamward.dispatch.account.AccountUsage;
 import org.hornbeamward.dispatch.account.ClientAccount;
@@ -443,14 +444,17 @@
         for (Task task : step.tasks) {
             if (filter.test(task) && !pass.isPlaced(task) && task.notBeforeMillis <= nowMillis) {
                 task.waitingSinceMillis = Math.min(task.waitingSinceMillis, nowMillis);
-                boolean keepsRoom = step.spec.longRunning() && !step.spec.filler();
-                long sinceMillis = keepsRoom ? step.roomTwiceSinceMillis : task.waitingSinceMillis;
-                long waitedMillis = nowMillis - Math.min(nowMillis, sinceMillis);
-                Run run = placeTask(pass, task, task.lastAttempt + 1, "", waitedMillis);
+                Run run =
+                        placeTask(
+                                pass,
+                                task,
+                                task.lastAttempt + 1,
+                                "",
+                                waitedMillis(task, nowMillis));
                 if (run == null) {
                     holdRoom(pass, task);
                     mWaitingTasks.add(task, nowMillis - task.waitingSinceMillis, filter);
-                    if (keepsRoom) {
+                    if (keepsRoom(step)) {
                         step.roomTwiceSinceMillis =
                                 isRoomTwice(pass, task)
                                         ? Math.min(step.roomTwiceSinceMillis, nowMillis)
@@ -463,6 +467,49 @@
         }
     }
 
+    private static boolean keepsRoom(Step step) {
+        return step.spec.longRunning() && !step.spec.filler();
+    }
+
+    /** Returns the time for which a task has been waiting, as {@link Demand} counts it. */
+    private static long waitedMillis(Task task, long nowMillis) {
+        long sinceMillis =
+                keepsRoom(task.step) ? task.step.roomTwiceSinceMillis : task.waitingSinceMillis;
+        return nowMillis - Math.min(nowMillis, sinceMillis);
+    }
+
+    /**
+     * The workers that a task could start on.
+     *
+     * @param usableCount number of workers that accept new tasks
+     * @param eligibleCount number of those that could run the task and have the room for it
+     */
+    record Room(int usableCount, int eligibleCount) {}
+
+    /**
+     * Returns a function that tells how many workers a waiting task could start on now, apart from
+     * the room that the placement keeps or holds for other tasks. Nothing is decided.
+     *
+     * @param workers all workers
+     * @param nowMillis monotonic time
+     */
+    Function<Task, Room> roomFinder(Collection<WorkerSession> workers, long nowMillis) {
+        Pass pass = newPass(workers, nowMillis);
+        return task -> room(pass, task);
+    }
+
+    private static Room room(Pass pass, Task task) {
+        QueueConfig queue = task.step.job.queue;
+        int eligibleCount =
+                queue == null
+                        ? 0
+                        : Placement.eligibleCount(
+                                demand(pass, task, queue, "", waitedMillis(task, pass.mNowMillis)),
+                                pass.candidates(),
+                                candidate -> candidate.sameStepCount(task.step));
+        return new Room(pass.mUsableWorkers.size(), eligibleCount);
+    }
+
     /** Holds room for a large task that fits on no worker, if the deployment asks for it. */
     private void holdRoom(Pass pass, Task task) {
         QueueConfig queue = task.step.job.queue;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
@@ -64,6 +64,11 @@
     /** Worker on which a run failed last; null if none has failed. */
     public @Nullable WorkerId failedOn;
 
+    /**
+     * Time for which the task has been away; null while it runs or if it has never been running.
+     */
+    public @Nullable TimeAway timeAway;
+
     /** The run that may be present on a worker; null if there is none. */
     public @Nullable Run run;
 
@@ -86,4 +91,13 @@
     boolean interrupted(long nowMillis) {
         return waiting() && lastAttempt > 0 && nowMillis - awaySinceMillis >= URGENT_AWAY_MILLIS;
     }
+
+    /**
+     * Returns the time until a waiting task that has been running before counts as interrupted.
+     *
+     * @param nowMillis monotonic time
+     */
+    long millisUntilInterrupted(long nowMillis) {
+        return Math.max(0, awaySinceMillis + URGENT_AWAY_MILLIS - nowMillis);
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -566,6 +566,7 @@
     }
 
     private void markPresent(Run run) {
+        run.lastSeenMillis = mLoop.nowMillis();
         if (run.state != Run.State.PRESENT) {
             run.state = Run.State.PRESENT;
             run.confirmedMillis = mLoop.nowMillis();
@@ -942,8 +943,23 @@
         return mLoop.nowMillis() > leaseEndMillis();
     }
 
+    /** Returns the time until all leases must have lapsed on the worker; 0 if they have. */
+    long leaseLeftMillis() {
+        return Math.max(0, leaseEndMillis() - mLoop.nowMillis());
+    }
+
+    /** Returns whether the leases that were granted in other sessions may last longest. */
+    boolean isLeaseEndInherited() {
+        return mInheritedLeaseEndMillis > grantedLeaseEndMillis();
+    }
+
     /** Returns the monotonic time after which all leases must have lapsed on the worker. */
     private long leaseEndMillis() {
+        return Math.max(mInheritedLeaseEndMillis, grantedLeaseEndMillis());
+    }
+
+    /** Returns the monotonic time after which the leases of this session must have lapsed. */
+    private long grantedLeaseEndMillis() {
         long deadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, mOfferedLeaseClockMillis);
         long sentMillis =
                 mOfferedLeaseClockMillis > 0
@@ -953,11 +969,9 @@
         // one, which shortens it to the longest lease.
         long longestEndMillis =
                 sentMillis + ANSWER_TIMEOUT_MILLIS + toOwnClock(mSupervisor.longestLeaseMillis());
-        long grantedEndMillis =
-                mRuns.values().stream().anyMatch(Run::mayHaveStartedOnLaterIncarnation)
-                        ? longestEndMillis
-                        : Math.min(passedAtMillis(deadlineClockMillis), longestEndMillis);
-        return Math.max(mInheritedLeaseEndMillis, grantedEndMillis);
+        return mRuns.values().stream().anyMatch(Run::mayHaveStartedOnLaterIncarnation)
+                ? longestEndMillis
+                : Math.min(passedAtMillis(deadlineClockMillis), longestEndMillis);
     }
 
     boolean silent() {
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -141,6 +141,26 @@
             532,
             Level.INFO,
             "room for task {}, which needs {}, is held on worker {} from {} ms on"),
+    /** A long-running task that was away for long runs again. */
+    TASK_RETURNED(
+            533,
+            Level.INFO,
+            "task {} attempt {} runs again on worker {} after a time away of {}: {} ms until its"
+                    + " run was given up, {} ms waiting for a worker, {} ms in {} starts that did"
+                    + " not succeed, the last one: {}, and {} ms in the start that did"),
+    /** Long-running tasks are away for long and do not run yet. */
+    TASKS_AWAY(
+            534,
+            Level.WARN,
+            "{} long-running tasks have been away for over 3 s; task {} longest, {}: {}; of {}"
+                    + " compared tasks without a run, {} have a worker with the room, the first one"
+                    + " being {}; the store confirmed this leader {} ms ago"),
+    /** Returns of long-running tasks have no line of their own. */
+    RETURNS_OMITTED(
+            535,
+            Level.INFO,
+            "{} more long-running tasks run again without a line of their own; longest time away {}"
+                    + " ms"),
     /** Tasks of one kind are ready to start and find no worker. */
     TASKS_WAITING(
             526,
