Place all lost tasks before room is kept for one of them

Callers saw a task that lasts stay away although workers had room for it.

Cause: for each interrupted task that fits on no worker, the pass kept the room of the worker with the most free processors, before it looked at the next task. A smaller task behind it, which would have fitted there, waited until the larger one had started. After the loss of many workers there are dozens of such tasks.

All interrupted tasks are tried first, in their order; then room is kept for those that are left. Ruled out: larger tasks that starve, since the tasks that may go ahead of them are only those that were running before.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -207,10 +207,10 @@
         }
         Pass pass = newPass(workers, loop.nowMillis());
         boolean waitForBatch = awaitsLongRunningJobs(ranked, loop.nowMillis());
+        placeInterrupted(pass, ranked, loop.nowMillis());
         for (RankedJob entry : ranked) {
-            if (entry.sortKey().interrupted()) {
-                placeInterrupted(pass, entry.job(), loop.nowMillis());
-            } else if (!waitForBatch || !entry.job().isNewAndLongRunning()) {
+            if (!entry.sortKey().interrupted()
+                    && (!waitForBatch || !entry.job().isNewAndLongRunning())) {
                 placeJob(pass, entry.job(), nowWallMillis, loop.nowMillis());
             }
         }
@@ -401,22 +401,38 @@
     }
 
     /**
-     * Places the tasks of a long-running job that have been running before, and keeps room free for
-     * those that fit on no worker.
+     * Places the tasks of long-running jobs that have been running before, and keeps room free for
+     * those that fit on no worker. Room is kept once all of them have been tried, since one that
+     * fits must not wait for a larger one.
      */
-    private void placeInterrupted(Pass pass, Job job, long nowMillis) {
-        for (Step step : job.steps(0)) {
-            if (step.spec.gang()) {
-                continue;
+    private void placeInterrupted(Pass pass, List<RankedJob> ranked, long nowMillis) {
+        List<Step> steps = new ArrayList<>();
+        for (RankedJob entry : ranked) {
+            if (entry.sortKey().interrupted()) {
+                for (Step step : entry.job().steps(0)) {
+                    if (!step.spec.gang()) {
+                        steps.add(step);
+                    }
+                }
             }
+        }
+        for (Step step : steps) {
             placeTasks(pass, step, task -> task.interrupted(nowMillis), nowMillis);
-            for (Task task : step.tasks) {
-                if (task.interrupted(nowMillis)
-                        && !pass.isPlaced(task)
-                        && !step.spec.filler()
-                        && task.notBeforeMillis <= nowMillis) {
-                    keepRoomFree(pass, task);
-                }
+        }
+        for (Step step : steps) {
+            keepRoomFree(pass, step, nowMillis);
+        }
+    }
+
+    private void keepRoomFree(Pass pass, Step step, long nowMillis) {
+        if (step.spec.filler()) {
+            return;
+        }
+        for (Task task : step.tasks) {
+            if (task.interrupted(nowMillis)
+                    && !pass.isPlaced(task)
+                    && task.notBeforeMillis <= nowMillis) {
+                keepRoomFree(pass, task);
             }
         }
     }
