Count the leases of a silent leader from its last record

Cause: a successor assumed that the former leader was confirmed until the read of the progress topic that showed nothing new, 0.1 to 0.85 s after its last heartbeat. Every confirmation is a record, so the last one was given before the last record became known, which is up to another 0.7 s earlier. If the former leader appends a record after that, the offset of the fencing record shows it, as before.

ElectionTest.theSuccessorOfASilentLeaderCountsFromItsLastRecord failed before (1.1 s later than the record) and passes.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
@@ -123,6 +123,23 @@
         assertTrue(silent.sinceMillis() <= lostMillis + 200, "long after the loss");
     }
 
+    /** Guards against a successor that counts the leases of a failed leader from its heartbeats. */
+    @Test
+    void theSuccessorOfASilentLeaderCountsFromItsLastRecord() {
+        Election first = entry("a", 1);
+        mLoop.advance(1_000);
+        first.stop();
+        Election second = entry("b", 2);
+        mLoop.advance(200);
+        mStore.records(Topic.PROGRESS).add(new KeyedRecord("alive", new byte[] {1}));
+        second.heartbeatReceived(heartbeat(1, 1));
+        long knownMillis = mLoop.nowMillis();
+        mLoop.advance(250);
+        second.heartbeatReceived(heartbeat(1, 1));
+        mLoop.advance(4_000);
+        assertEquals(new FormerLeader.Silent(1, knownMillis), mFormer);
+    }
+
     /** Guards against trust in the end of a leader whose predecessor may still renew leases. */
     @Test
     void theSuccessorOfAResignedLeaderKnowsWhenItWasFirstSeen() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
@@ -105,7 +105,9 @@
     private long mSilentSinceMillis;
     private long mLeaderUnconfirmedMillis;
     private long mLeaderProgressOffset = -1;
-    private long mLastHeartbeatMillis;
+
+    /** Monotonic time at which {@link #mLeaderProgressOffset} first became known. */
+    private long mProgressKnownMillis;
 
     /** Monotonic time of the first heartbeat after the leader's first append; unset if negative. */
     private long mLeaderFirstSeenMillis = -1;
@@ -179,12 +181,18 @@
     void heartbeatReceived(FeedMessage.Heartbeat heartbeat) {
         mHeartbeatReceived = true;
         mSilentSinceMillis = mLoop.nowMillis();
-        mLastHeartbeatMillis = mLoop.nowMillis();
         if (mLeaderFirstSeenMillis < 0 && heartbeat.progressOffset() >= 0) {
             mLeaderFirstSeenMillis = mLoop.nowMillis();
         }
         mLeaderUnconfirmedMillis = heartbeat.unconfirmedMillis();
-        mLeaderProgressOffset = heartbeat.progressOffset();
+        noteProgress(heartbeat.progressOffset());
+    }
+
+    private void noteProgress(long offset) {
+        if (offset != mLeaderProgressOffset) {
+            mLeaderProgressOffset = offset;
+            mProgressKnownMillis = mLoop.nowMillis();
+        }
     }
 
     /**
@@ -237,7 +245,7 @@
                 && isStoreReachableOnlyHere()) {
             scheduleCandidacy(
                     "leader " + leader.instance() + " cannot reach the store",
-                    silentSince(mLastHeartbeatMillis));
+                    silentLeader());
         } else {
             evaluateSilence(leader);
         }
@@ -290,7 +298,7 @@
         switch (outcome) {
             case ReadOutcome.Records records -> {
                 if (!records.records().isEmpty()) {
-                    mLeaderProgressOffset = records.endOffset();
+                    noteProgress(records.endOffset());
                     mCheckingProgress = true;
                     checkProgress(leader, mLeaderProgressOffset);
                 } else if (mLoop.nowMillis() - sentMillis >= STORE_SILENCE_MILLIS / 2) {
@@ -298,19 +306,23 @@
                             "leader "
                                     + leader.instance()
                                     + " sends no heartbeats and appends no progress",
-                            silentSince(sentMillis));
+                            silentLeader());
                 }
             }
-            case ReadOutcome.HistoryGone gone -> mLeaderProgressOffset = -1;
+            case ReadOutcome.HistoryGone gone -> noteProgress(-1);
             case ReadOutcome.Unavailable unavailable ->
                     mNextCandidacyMillis = mLoop.nowMillis() + jitterMillis();
         }
     }
 
-    private FormerLeader silentSince(long millis) {
+    /**
+     * Returns what is known of a leader that appends no more progress. Every confirmation of a
+     * leader is a record, so the last one was given before its last record became known here.
+     */
+    private FormerLeader silentLeader() {
         return mLeaderProgressOffset < 0
                 ? new FormerLeader.Unknown()
-                : new FormerLeader.Silent(mLeaderProgressOffset, millis);
+                : new FormerLeader.Silent(mLeaderProgressOffset, mProgressKnownMillis);
     }
 
     private long uptimeDelayMillis() {
@@ -390,7 +402,7 @@
         }
         mLeader = record;
         mHeartbeatReceived = false;
-        mLeaderProgressOffset = -1;
+        noteProgress(-1);
         mLeaderUnconfirmedMillis = 0;
         mSilentSinceMillis = mLoop.nowMillis();
         if (!own) {
