Let a series of leaders wait once for the leases of a lost worker

Causes, each a wait that is measured anew at a change of leaders: - The successor of a leader that resigned within 2.5 s of its election assumed that the leaders before it renew leases until 2.5 s after they were fenced, though that leader knew better. A leader now stores how long leaders before it may renew (EarlierGrants), at most each 0.2 s and until nobody does. - An instance that led in an earlier incarnation waited 2.5 s for renewals by that incarnation, which has ended. - Stored lease bounds counted from the fencing of the successor, so time without a leader was added. They count from the time at which it learned of the resignation; a leader that has asked to resign therefore records nothing more. - Stored lease bounds were prolonged by the rate of the worker's clock at each change, although they are times of an instance's own clock.

Tests: LeaseBoundTest.leadersThatFollowEachOtherQuicklyWaitOnce..., aTimeWithoutALeader..., aLeaderThatResignsRecordsNothingMore (each failed with its part of the change taken out), ElectionTest.aRestartedLeaderKnows... ProgressRemovalTest counts the one record more that stays in the progress topic for good.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
@@ -155,8 +155,29 @@
         second.heartbeatReceived(heartbeat(1, 4));
         first.stop();
         first.resign(1);
+        long resignedMillis = mLoop.nowMillis();
         mLoop.advance(500);
-        assertEquals(new FormerLeader.Resigned(firstSeenMillis), mFormer);
+        FormerLeader.Stopped stopped = assertInstanceOf(FormerLeader.Stopped.class, mFormer);
+        assertEquals(1, stopped.epoch());
+        assertEquals(firstSeenMillis, stopped.firstSeenMillis());
+        assertTrue(stopped.stoppedMillis() >= resignedMillis, "before the resignation");
+        assertTrue(stopped.stoppedMillis() <= resignedMillis + 20, "long after the resignation");
+    }
+
+    /** Guards against a restarted leader that waits for renewals by its earlier incarnation. */
+    @Test
+    void aRestartedLeaderKnowsThatItsEarlierIncarnationHasEnded() {
+        Election first = entry("a", 1);
+        mLoop.advance(1_000);
+        first.stop();
+        mLoop.advance(500);
+        long startedMillis = mLoop.nowMillis();
+        entry("a", 2);
+        mLoop.advance(500);
+        assertEquals(List.of("a 1", "a 2"), mElected);
+        assertEquals(
+                new FormerLeader.Stopped(1, startedMillis, FormerLeader.Stopped.NEVER_SEEN),
+                mFormer);
     }
 
     /** Guards against deposing a working leader because its link to one entry is broken. */
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/DispatcherTest.java
@@ -263,7 +263,10 @@
     void aResignedLeaderRenewsNoMoreLeases() {
         startJobAndLoseItsWorker();
         mFixture.mLoop.advance(3_000);
-        mFixture.startDispatcher(2, new FormerLeader.Resigned(mFixture.mLoop.nowMillis() - 3_000));
+        mFixture.startDispatcher(
+                2,
+                new FormerLeader.Stopped(
+                        1, mFixture.mLoop.nowMillis(), mFixture.mLoop.nowMillis() - 3_000));
         expectRestartAfter(FakeWorker.LONGEST_LEASE_MILLIS);
     }
 
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaseBoundTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaseBoundTest.java
@@ -75,6 +75,59 @@
         assertEquals(2, mFixture.startedCount());
     }
 
+    /** Guards against leaders that wait for renewals by the ones before their predecessor. */
+    @Test
+    void leadersThatFollowEachOtherQuicklyWaitOnceForTheRenewalsOfTheFirst() {
+        Dispatcher leader = mFixture.startDispatcher(1);
+        FakeWorker gone = startJob();
+        gone.unreachable = true;
+        leader = replace(leader, 2);
+        for (int epoch = 3; epoch <= 8; epoch++) {
+            leader = stopAndReplace(leader, epoch);
+        }
+        // 2.5 s of renewals and 6.2 s of lease, and 0.1 s for each change of leaders.
+        mFixture.mLoop.advance(9_400 - 300 - 6 * 300);
+        assertEquals(2, mFixture.startedCount());
+    }
+
+    /** Guards against time without a leader that is added to the wait for a silent worker. */
+    @Test
+    void aTimeWithoutALeaderDoesNotProlongTheWaitForASilentWorker() {
+        Dispatcher leader = mFixture.startDispatcher(1);
+        FakeWorker gone = startJob();
+        gone.refusesConnections = true;
+        mFixture.mLoop.advance(1_500);
+        leader.close();
+        long stoppedMillis = mFixture.mLoop.nowMillis();
+        mFixture.mLoop.advance(1_300);
+        mFixture.startDispatcher(
+                2, new FormerLeader.Stopped(1, stoppedMillis, stoppedMillis - 3_000));
+        // 6.2 s of lease since the loss, 0.2 s for the age of the stored bound, and a start.
+        mFixture.mLoop.advance(6_600 - 1_500 - 1_300);
+        assertEquals(2, mFixture.startedCount());
+    }
+
+    /** Guards against records that a successor takes for older than they are. */
+    @Test
+    void aLeaderThatResignsRecordsNothingMore() {
+        Dispatcher leader = mFixture.startDispatcher(1);
+        startJob().unreachable = true;
+        mFixture.mLoop.advance(1_500);
+        leader.suspend();
+        mFixture.mLoop.advance(20);
+        int recordCount = mFixture.mStore.records(Topic.PROGRESS).size();
+        mFixture.mLoop.advance(3_000);
+        assertEquals(recordCount, mFixture.mStore.records(Topic.PROGRESS).size());
+    }
+
+    /** Ends a leader after 0.3 s and starts another one that knows that it has stopped. */
+    private Dispatcher stopAndReplace(Dispatcher leader, int epoch) {
+        mFixture.mLoop.advance(300);
+        leader.close();
+        long now = mFixture.mLoop.nowMillis();
+        return mFixture.startDispatcher(epoch, new FormerLeader.Stopped(epoch - 1, now, now - 250));
+    }
+
     /** Guards against two runs of a task on a worker that was only cut off from the leaders. */
     @Test
     void theTaskOfACutOffWorkerIsNotStartedBeforeItsLeaseHasLapsed() {
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/ProgressRemovalTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/ProgressRemovalTest.java
@@ -121,8 +121,8 @@
         mFixture.mLoop.advance(REMOVED_AFTER_MILLIS + 120_000);
 
         assertEquals(0, newest(Topic.JOBS).size());
-        // The keep-alive record and the learned interference.
-        assertEquals(2, newest(Topic.PROGRESS).size());
+        // The keep-alive record, the learned interference and the renewals by earlier leaders.
+        assertEquals(3, newest(Topic.PROGRESS).size());
     }
 
     /** Guards against a job that is taken for completed because an earlier one had its id. */
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
@@ -345,9 +345,12 @@
             case LEADER_RESIGNED -> {
                 leader.mDispatcher.close();
                 replace(
-                        leader.mFirstRecordMillis < 0
-                                ? new FormerLeader.Unknown()
-                                : new FormerLeader.Resigned(leader.mFirstRecordMillis),
+                        new FormerLeader.Stopped(
+                                mEpoch,
+                                now,
+                                leader.mFirstRecordMillis < 0
+                                        ? FormerLeader.Stopped.NEVER_SEEN
+                                        : leader.mFirstRecordMillis),
                         event.millis());
             }
             case LEADER_PAUSED -> pause(leader, event.millis());
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
@@ -99,6 +99,10 @@
     private final Listener mListener;
     private final TopicFollower mFollower;
     private @Nullable LeaderRecord mLeader;
+
+    /** Monotonic time at which {@link #mLeader} was received from the store. */
+    private long mLeaderKnownMillis;
+
     private boolean mRunning;
     private long mStartedMillis;
     private boolean mHeartbeatReceived;
@@ -232,20 +236,20 @@
         } else if (leader.resigned()) {
             scheduleCandidacy(
                     "leader " + leader.instance() + " has resigned",
-                    mLeaderFirstSeenMillis < 0
-                            ? new FormerLeader.Unknown()
-                            : new FormerLeader.Resigned(mLeaderFirstSeenMillis),
+                    stopped(leader, mLeaderKnownMillis),
                     mCandidacyDelayMillis + uptimeDelayMillis());
         } else if (leader.instance().equals(mInstance)
                 && leader.incarnation() != mIncarnation
                 && mCandidacyDelayMillis < YIELD_DELAY_THRESHOLD_MILLIS) {
             scheduleCandidacy(
-                    "this instance led in an earlier incarnation", new FormerLeader.Unknown());
+                    "this instance led in an earlier incarnation",
+                    leader.feedAddress().equals(mFeedAddress)
+                            ? stopped(leader, mStartedMillis)
+                            : new FormerLeader.Unknown());
         } else if (mLeaderUnconfirmedMillis > MAX_UNCONFIRMED_MILLIS
                 && isStoreReachableOnlyHere()) {
             scheduleCandidacy(
-                    "leader " + leader.instance() + " cannot reach the store",
-                    silentLeader());
+                    "leader " + leader.instance() + " cannot reach the store", silentLeader());
         } else {
             evaluateSilence(leader);
         }
@@ -315,6 +319,15 @@
         }
     }
 
+    private FormerLeader stopped(LeaderRecord leader, long stoppedMillis) {
+        return new FormerLeader.Stopped(
+                leader.epoch(),
+                stoppedMillis,
+                mLeaderFirstSeenMillis < 0
+                        ? FormerLeader.Stopped.NEVER_SEEN
+                        : mLeaderFirstSeenMillis);
+    }
+
     /**
      * Returns what is known of a leader that appends no more progress. Every confirmation of a
      * leader is a record, so the last one was given before its last record became known here.
@@ -401,6 +414,7 @@
             mLeaderFirstSeenMillis = -1;
         }
         mLeader = record;
+        mLeaderKnownMillis = mLoop.nowMillis();
         mHeartbeatReceived = false;
         noteProgress(-1);
         mLeaderUnconfirmedMillis = 0;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -59,6 +59,13 @@
      */
     private static final long INTERFERENCE_SAVE_INTERVAL_MILLIS = 2_000;
 
+    /**
+     * Minimum time between two commits that only bring {@link EarlierGrants} up to date. A
+     * successor waits longer by up to this time, since it does not know when the record was
+     * written.
+     */
+    private static final long EARLIER_GRANTS_SAVE_INTERVAL_MILLIS = 200;
+
     /** Period of the checks that no event triggers, such as lapsed leases. */
     private static final long TICK_INTERVAL_MILLIS = 100;
 
@@ -137,13 +144,18 @@
     private boolean mAwaitingConfirmation;
     private boolean mLeaseBoundChanged;
 
+    /** Whether the store holds that earlier leaders renew no more leases. */
+    private boolean mEarlierGrantsEndSaved;
+
+    private long mEarlierGrantsSavedMillis = Long.MIN_VALUE / 2;
+
     /** Jobs whose submissions are removed, and whose progress has to be removed. */
     private final Set<JobId> mObsoleteProgress = new LinkedHashSet<>();
 
     /** Workers whose stored lease bounds belong to no session. */
     private final Set<WorkerId> mObsoleteLeaseBounds = new LinkedHashSet<>();
 
-    /** Monotonic time at which all progress records of earlier leaders had been written. */
+    /** Monotonic time by which earlier leaders had decided on all of their progress records. */
     private long mEarlierRecordsEndMillis = Long.MAX_VALUE;
 
     /** Monotonic time after which no earlier leader grants a lease. */
@@ -222,11 +234,15 @@
         mEarlierGrantsEndMillis = now + MAX_RENEWAL_UNCONFIRMED_MILLIS;
         switch (mFormerLeader) {
             case FormerLeader.Unknown unknown -> {}
-            case FormerLeader.Resigned resigned ->
+            case FormerLeader.Stopped stopped -> {
+                mEarlierRecordsEndMillis = stopped.stoppedMillis();
+                if (stopped.firstSeenMillis() < now) {
                     mEarlierGrantsEndMillis =
                             Math.max(
-                                    now,
-                                    resigned.firstSeenMillis() + MAX_RENEWAL_UNCONFIRMED_MILLIS);
+                                    stopped.stoppedMillis(),
+                                    stopped.firstSeenMillis() + MAX_RENEWAL_UNCONFIRMED_MILLIS);
+                }
+            }
             case FormerLeader.Silent silent -> {
                 // The fencing record follows directly on the last one that the entry knew of,
                 // unless the former leader has appended others meanwhile.
@@ -252,7 +268,7 @@
         mLoop.schedule(TICK_INTERVAL_MILLIS, this::confirmWhileLoading);
     }
 
-    /** Grants no leases and sends no orders until {@link #resume} is called. */
+    /** Grants no leases, sends no orders and records nothing until {@link #resume} is called. */
     public void suspend() {
         mSuspended = true;
     }
@@ -392,6 +408,7 @@
         int inherited = 0;
         mProgress.remove(KEEP_ALIVE_KEY);
         restoreInterference(mProgress.remove(INTERFERENCE_KEY));
+        restoreEarlierGrants(mProgress.remove(EarlierGrants.KEY));
         Map<WorkerId, byte[]> leaseBounds = removeLeaseBounds();
         for (Map.Entry<String, byte[]> entry : mProgress.entrySet()) {
             try {
@@ -458,6 +475,29 @@
         }
     }
 
+    /**
+     * Lowers the bound for renewals by earlier leaders to what the former leader knew of the ones
+     * before it, if that one has stopped.
+     */
+    private void restoreEarlierGrants(byte @Nullable [] value) {
+        if (value == null || !(mFormerLeader instanceof FormerLeader.Stopped stopped)) {
+            return;
+        }
+        try {
+            EarlierGrants grants = EarlierGrants.decode(value);
+            if (grants.epoch() == stopped.epoch()) {
+                mEarlierGrantsEndMillis =
+                        Math.min(
+                                mEarlierGrantsEndMillis,
+                                mEarlierRecordsEndMillis + grants.remainingMillis());
+                mWorkers.all()
+                        .forEach(worker -> worker.boundInheritedLeases(mEarlierGrantsEndMillis));
+            }
+        } catch (Reader.MalformedInputException e) {
+            LogEvent.RECORD_SKIPPED.log(e, "the record of earlier renewals cannot be read");
+        }
+    }
+
     private int inherit(String key, byte[] value) {
         Job job = JobId.parse(key).map(mJobs::get).getOrElse(() -> null);
         if (job == null) {
@@ -550,7 +590,10 @@
         removeEndedJobs();
         mPlacementMonitor.logIfDue(mOrders.size());
         checkAwayTasks();
-        if (!mWriter.isBusy() && mWriter.unconfirmedMillis() > CONFIRM_AFTER_MILLIS) {
+        // A successor relies on it that nothing is recorded once the leader has resigned.
+        if (!mSuspended
+                && !mWriter.isBusy()
+                && mWriter.unconfirmedMillis() > CONFIRM_AFTER_MILLIS) {
             commit();
         }
         runPlacementPass();
@@ -647,7 +690,7 @@
                 mUncommittedStarts.add(run);
                 mJobs.markChanged(run.task.step.job);
             }
-            if (mJobs.hasChanges() || mLeaseBoundChanged) {
+            if (mJobs.hasChanges() || mLeaseBoundChanged || isEarlierGrantsDue()) {
                 commit();
             } else {
                 mWorkers.all().forEach(worker -> worker.endsStored(worker.seenEndNumber()));
@@ -674,6 +717,7 @@
             mInterferenceSavedMillis = mLoop.nowMillis();
             records.add(new KeyedRecord(INTERFERENCE_KEY, mFillerController.encodeLearned()));
         }
+        addEarlierGrants(records);
         List<WorkerSession> answering = addLeaseBounds(records);
         if (records.isEmpty()) {
             // The keep-alive record shows followers in the store that the leader is alive.
@@ -687,6 +731,22 @@
                 });
     }
 
+    private boolean isEarlierGrantsDue() {
+        return !mEarlierGrantsEndSaved
+                && mLoop.nowMillis() - mEarlierGrantsSavedMillis
+                        >= EARLIER_GRANTS_SAVE_INTERVAL_MILLIS;
+    }
+
+    /** Adds how long earlier leaders may renew leases, until a commit says that they do not. */
+    private void addEarlierGrants(List<KeyedRecord> records) {
+        if (!mEarlierGrantsEndSaved) {
+            mEarlierGrantsSavedMillis = mLoop.nowMillis();
+            long remainingMillis = Math.max(0, mEarlierGrantsEndMillis - mEarlierGrantsSavedMillis);
+            records.add(new EarlierGrants(mEpoch, remainingMillis).toRecord());
+            mEarlierGrantsEndSaved = remainingMillis == 0;
+        }
+    }
+
     private void addProgressRemovals(List<KeyedRecord> records) {
         Iterator<JobId> obsolete = mObsoleteProgress.iterator();
         for (int count = 0; count < MAX_PROGRESS_REMOVALS && obsolete.hasNext(); count++) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -431,6 +431,18 @@
         mInheritedLeaseMillis = longestMillis;
     }
 
+    /**
+     * Lowers the time until which leases that were granted by a previous leader may last.
+     *
+     * @param grantedUntilMillis monotonic time after which none was granted
+     */
+    void boundInheritedLeases(long grantedUntilMillis) {
+        mInheritedLeaseEndMillis =
+                Math.min(
+                        mInheritedLeaseEndMillis,
+                        grantedUntilMillis + toOwnClock(mInheritedLeaseMillis));
+    }
+
     /** Adds a run and reserves its resources. */
     void add(Run run) {
         mRuns.put(run.task.name, run);
@@ -1036,14 +1048,12 @@
      * Applies the lease bound that a previous leader has stored.
      *
      * @param bound the bound
-     * @param writtenByMillis monotonic time at which it had certainly been written
+     * @param writtenByMillis monotonic time by which it had certainly been determined
      */
     void restoreLeaseBound(LeaseBound bound, long writtenByMillis) {
         mLeaseBoundStored = true;
         mInheritedLeaseEndMillis =
-                Math.min(
-                        mInheritedLeaseEndMillis,
-                        writtenByMillis + toOwnClock(bound.remainingMillis()));
+                Math.min(mInheritedLeaseEndMillis, writtenByMillis + bound.remainingMillis());
     }
 
     /**
