Let a leader resign right after its election

Cause: the resignation was appended on the condition that the leader topic ends where the leader's follower has read to. Shortly after the election the follower may not have read the leader's own record yet, so the condition failed, and the leader took itself for deposed without telling anybody.

The condition is now the end after the leader's own record, which its epoch names. If another entry has been elected since, the append still fails.

ElectionTest.aLeaderThatResignsRightAfterItsElection... failed before (EndMoved) and passes; aDeposedLeaderDoesNotResignForItsSuccessor guards the other side.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/ElectionTest.java
@@ -7,11 +7,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import org.hornbeamward.dispatch.fake.FakeStore;
 import org.hornbeamward.dispatch.fake.VirtualLoop;
 import org.hornbeamward.dispatch.lead.DispatchLimits;
 import org.hornbeamward.dispatch.lead.FormerLeader;
 import org.hornbeamward.dispatch.port.KeyedRecord;
+import org.hornbeamward.dispatch.port.Store.AppendOutcome;
 import org.hornbeamward.dispatch.port.Topic;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -197,6 +199,41 @@
         assertEquals(List.of("a 1"), mElected);
     }
 
+    /** Guards against a leader that resigns in vain before it has read its own record. */
+    @Test
+    void aLeaderThatResignsRightAfterItsElectionIsReplacedAtOnce() {
+        mStore.readMillis = 300;
+        Election first = entry("a", 1);
+        while (mElected.isEmpty()) {
+            mLoop.advance(1);
+        }
+        first.stop();
+        assertInstanceOf(AppendOutcome.Appended.class, resign(first, 1));
+        entry("b", 2);
+        mLoop.advance(500);
+        assertEquals(List.of("a 1", "b 3"), mElected);
+    }
+
+    /** Guards against a resignation that hides the election of a successor. */
+    @Test
+    void aDeposedLeaderDoesNotResignForItsSuccessor() {
+        Election first = entry("a", 1);
+        mLoop.advance(1_000);
+        first.stop();
+        Election second = entry("b", 2);
+        mLoop.advance(200);
+        second.heartbeatReceived(heartbeat(1, 0));
+        mLoop.advance(4_000);
+        assertEquals(List.of("a 1", "b 2"), mElected);
+        assertInstanceOf(AppendOutcome.EndMoved.class, resign(first, 1));
+    }
+
+    private AppendOutcome resign(Election leader, long epoch) {
+        CompletableFuture<AppendOutcome> outcome = leader.resign(epoch);
+        mLoop.advance(100);
+        return outcome.join();
+    }
+
     /** Guards against waiting for heartbeats of a leader that has resigned. */
     @Test
     void aResignedLeaderIsReplacedAtOnce() {
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
@@ -38,6 +38,9 @@
     /** Response time for a page of the newest records. */
     public long newestMillis = ANSWER_MILLIS;
 
+    /** Time until a read looks for records. */
+    public long readMillis = ANSWER_MILLIS;
+
     /** Number of append calls. */
     public int appendCount;
 
@@ -138,7 +141,7 @@
         }
         CompletableFuture<ReadOutcome> answer = new CompletableFuture<>();
         long untilMillis = mLoop.nowMillis() + waitMillis;
-        mLoop.schedule(ANSWER_MILLIS, () -> poll(topic, fromOffset, untilMillis, answer));
+        mLoop.schedule(readMillis, () -> poll(topic, fromOffset, untilMillis, answer));
         return answer;
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/Election.java
@@ -160,7 +160,9 @@
     }
 
     /**
-     * Appends a resignation so that another entry can become the leader without a timeout.
+     * Appends a resignation so that another entry can become the leader without a timeout. The
+     * topic must still end after this leader's own record, which its follower may not have read
+     * yet.
      *
      * @return the outcome of the append; unless it was refused, another entry may lead from now on
      */
@@ -169,7 +171,7 @@
         return mStore.append(
                 Topic.LEADER,
                 List.of(new KeyedRecord(LeaderRecord.KEY, record.encode())),
-                new Store.Condition.EndsAt(mFollower.nextOffset()),
+                new Store.Condition.EndsAt(epoch),
                 ANSWER_TIMEOUT_MILLIS);
     }
 
