Renew no leases of workers that a new leader has not reached

Cause: the first poll of a new leader renewed the leases of every worker that had runs. A worker without an answer is noticed after 0.4 s or more, so a leader that stopped before left its successor to assume a renewal until then, and stored no bound.

The first poll of a worker with inherited runs now only asks; an answer is followed at once by a poll that renews. A worker that has not answered it after 0.2 s gets a stored lease bound like a silent one. Work on workers that answer loses nothing but the time of one call, of leases of 6 to 7 s that are renewed every second.

LeaseBoundTest.leadersThatStopBeforeTheyReachAWorker... failed before (9 s after the loss not started) and passes.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaseBoundTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaseBoundTest.java
@@ -90,6 +90,26 @@
         assertEquals(2, mFixture.startedCount());
     }
 
+    /** Guards against leaders that stop before they notice that a worker is silent. */
+    @Test
+    void leadersThatStopBeforeTheyReachAWorkerDoNotProlongItsLeases() {
+        Dispatcher leader = mFixture.startDispatcher(1);
+        FakeWorker gone = startJob();
+        gone.unreachable = true;
+        mFixture.mLoop.advance(100);
+        for (int epoch = 2; epoch <= 7; epoch++) {
+            leader.close();
+            long now = mFixture.mLoop.nowMillis();
+            leader =
+                    mFixture.startDispatcher(
+                            epoch, new FormerLeader.Stopped(epoch - 1, now, now - 3_000));
+            mFixture.mLoop.advance(500);
+        }
+        // Callers count the task as lost 9 s after its last run.
+        mFixture.mLoop.advance(9_000 - 100 - 6 * 500);
+        assertEquals(2, mFixture.startedCount());
+    }
+
     /** Guards against time without a leader that is added to the wait for a silent worker. */
     @Test
     void aTimeWithoutALeaderDoesNotProlongTheWaitForASilentWorker() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -749,9 +749,10 @@
         mPollInFlight = true;
         long sentMillis = mLoop.nowMillis();
         mPollSentMillis = sentMillis;
-        // A poll without an answer may have renewed the leases, so the polls of a silent worker
-        // stop renewing them and they lapse.
-        boolean renews = mFailedPollCount < NO_RENEWAL_POLL_COUNT && !mLeaseBoundStored;
+        // A poll without an answer may have renewed the leases. So that they lapse, the polls of a
+        // silent worker and the first one of a worker with inherited runs do not renew them.
+        boolean renews =
+                mFailedPollCount < NO_RENEWAL_POLL_COUNT && !mLeaseBoundStored && !isUnreached();
         long leaseMillis = renews ? mSupervisor.leaseMillis() : 0;
         Long deadlineClockMillis = leaseMillis > 0 ? clockNowMillis() + leaseMillis : null;
         mOfferedLeaseClockMillis = deadlineClockMillis == null ? 0 : deadlineClockMillis;
@@ -836,6 +837,8 @@
                 if (mFailedPollCount > 0) {
                     LogEvent.WORKER_REACHED.log(mId, mFailedPollCount);
                     mFailedPollCount = 0;
+                }
+                if (mLeaseBoundStored) {
                     mSupervisor.leaseBoundChanged();
                 }
                 mAcknowledgedEndNumber = Math.max(mAcknowledgedEndNumber, acknowledged);
@@ -1032,10 +1035,24 @@
 
     /**
      * Returns whether a successor would have to wait for the leases of the worker: it does not
-     * answer, or it did not answer the previous leader and has not been reached since.
+     * answer, or it did not answer the previous leader and has not been reached since, or it has
+     * not answered the first poll of this leader for a while.
      */
     boolean needsLeaseBound() {
-        return !mRuns.isEmpty() && (silent() || (mLeaseBoundStored && !mReached));
+        return !mRuns.isEmpty()
+                && (silent()
+                        || (mLeaseBoundStored && !mReached)
+                        || (isUnreached() && isPollOverdue()));
+    }
+
+    /** Returns whether the worker has inherited runs and has not answered this leader yet. */
+    private boolean isUnreached() {
+        return !mReached
+                && mRuns.values().stream().anyMatch(run -> run.state == Run.State.INHERITED);
+    }
+
+    private boolean isPollOverdue() {
+        return mPollInFlight && mLoop.nowMillis() - mPollSentMillis >= LEASE_BOUND_INTERVAL_MILLIS;
     }
 
     /** Records that no lease bound is stored any more, so that leases may be renewed. */
