dispatch tests: play losses of workers and check that lost tasks run again

RandomFaults checks at each step that no task that lasts is away for 9 s with room for it twice and 7 s of calm (TASK_AWAY). A second generator, lossSchedule, plays workers that are gone for good, flap, or refuse or do not answer starts, beside short jobs and changes of leaders. The schedules of the old seeds are the same.

Cause of what it finds: a task that is ordered on a worker that is gone without a reset and still listed waits 8.5 to 9.2 s, until all leases must have lapsed.

Not used in the loss generator: TASK_NOT_RUNNING, since the workers that are left may lack the room; and a short job counts as not ended only if there is room for it twice, after up to 100 s more, since the losses leave a backlog. Both checks stay as they are for the old generator.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkers.java
@@ -104,6 +104,27 @@
         return answer;
     }
 
+    /** Sends an order, which a worker that is up may refuse or leave without an answer. */
+    private CompletableFuture<OrderOutcome> order(
+            WorkerEntry entry, long timeoutMillis, boolean start, Action<OrderOutcome> action) {
+        SimulatedWorker worker = mWorkers.get(entry.address());
+        if (worker != null && worker.isUp()) {
+            boolean hangs =
+                    worker.has(SimulatedWorker.Fault.ORDERS_HANG)
+                            || (start && worker.has(SimulatedWorker.Fault.STARTS_HANG));
+            boolean refuses = start && worker.has(SimulatedWorker.Fault.STARTS_REFUSED);
+            if (hangs || refuses) {
+                CompletableFuture<OrderOutcome> answer = new CompletableFuture<>();
+                mLoop.schedule(timeoutMillis, () -> answer.complete(ORDER_FAILURES.unknown()));
+                if (!hangs) {
+                    deliver(worker, () -> answer.complete(ORDER_FAILURES.unhealthy()));
+                }
+                return answer;
+            }
+        }
+        return call(entry, timeoutMillis, ORDER_FAILURES, action);
+    }
+
     private static boolean answers(SimulatedWorker worker, int incarnation) {
         return worker.incarnation() == incarnation
                 && worker.isUp()
@@ -125,20 +146,20 @@
     public CompletableFuture<OrderOutcome> start(
             WorkerEntry entry, StartOrder order, long timeoutMillis) {
         long sentMillis = mBase.nowMillis();
-        return call(
+        return order(
                 entry,
                 timeoutMillis,
-                ORDER_FAILURES,
+                true,
                 (worker, late, answer) -> answer.accept(worker.start(order, late, sentMillis)));
     }
 
     @Override
     public CompletableFuture<OrderOutcome> stop(
             WorkerEntry entry, TaskName task, int attempt, long token, long timeoutMillis) {
-        return call(
+        return order(
                 entry,
                 timeoutMillis,
-                ORDER_FAILURES,
+                false,
                 (worker, late, answer) -> answer.accept(worker.stop(task, attempt, token)));
     }
 
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/SimulatedWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/SimulatedWorker.java
@@ -42,7 +42,13 @@
         /** The worker answers that it is unhealthy and has done nothing. */
         UNHEALTHY,
         /** Another worker answers at the address. */
-        OTHER_WORKER
+        OTHER_WORKER,
+        /** The worker answers start orders that it is unhealthy; it carries out all other calls. */
+        STARTS_REFUSED,
+        /** Start orders are not carried out and get no answer; all other calls are carried out. */
+        STARTS_HANG,
+        /** Start and stop orders are not carried out and get no answer; polls are answered. */
+        ORDERS_HANG
     }
 
     /** Decides how runs of a task behave. */
@@ -226,6 +232,15 @@
                         Math.min(deadlineClockMillis, clockMillis() + mLongestLeaseMillis));
     }
 
+    /** Returns the capacity that no present run takes. */
+    public Resources free() {
+        Resources free = mCapacity;
+        for (LiveRun run : mRuns) {
+            free = free.minus(mWorkload.size(run.mTask));
+        }
+        return free;
+    }
+
     /** Ends all runs if the lease has lapsed. */
     public void expireLeases() {
         if (mUp && clockMillis() > mLeaseDeadlineClockMillis) {
@@ -274,11 +289,7 @@
         if (order.attempt() <= mHighestEndedAttempts.getOrDefault(order.task(), 0)) {
             return new OrderOutcome.Rejected(Rejection.SUPERSEDED, clockMillis());
         }
-        Resources free = mCapacity;
-        for (LiveRun run : mRuns) {
-            free = free.minus(mWorkload.size(run.mTask));
-        }
-        if (!mWorkload.size(order.task()).fitsIn(free)) {
+        if (!mWorkload.size(order.task()).fitsIn(free())) {
             return new OrderOutcome.Rejected(Rejection.NO_ROOM, clockMillis());
         }
         long durationMillis = mWorkload.durationMillis(order.task(), mRandom);
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
@@ -5,11 +5,15 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Random;
+import java.util.Set;
+import java.util.function.Function;
+import java.util.function.Predicate;
 import org.hornbeamward.dispatch.config.ClusterConfig;
 import org.hornbeamward.dispatch.config.PoolConfig;
 import org.hornbeamward.dispatch.config.QueueConfig;
@@ -41,6 +45,10 @@
         SUBMIT,
         SUBMIT_CHAIN,
         SUBMIT_LONG_RUNNING,
+        /** Long-running tasks whose number and size follow from the target. */
+        SUBMIT_LASTING,
+        /** Short jobs for the duration that keep as many cores busy as the target says. */
+        SHORT_JOBS,
         CANCEL,
         /** The worker restarts at once; its entry is written after the duration. */
         RESTART,
@@ -56,6 +64,19 @@
         OTHER_WORKER,
         LEASE_DROPPED,
         ENTRY_REMOVED,
+        /** The worker ends for good and its connections are refused; the entry follows later. */
+        GONE,
+        /** The worker ends for good and its connections get no answer; the entry follows later. */
+        GONE_SILENTLY,
+        /** The worker is down and up by turns for the duration, under its id. */
+        FLAP,
+        /** The worker is down and up by turns for the duration, each time as a new worker. */
+        FLAP_AS_NEW,
+        STARTS_REFUSED,
+        STARTS_HANG,
+        ORDERS_HANG,
+        /** Polls and orders get no answer and are not carried out. */
+        HANG,
         STORE_SLOW,
         STORE_UNANSWERED,
         STORE_LATE,
@@ -107,10 +128,28 @@
     }
 
     private static final int WORKER_COUNT = 4;
+    private static final int MIN_LOSS_WORKER_COUNT = 6;
+    private static final long ENTRY_LIFE_MILLIS = 4_500;
+    private static final long FLAP_PERIOD_MILLIS = 1_400;
+
+    /** Time in which a running worker writes an entry. */
+    private static final long ENTRY_INTERVAL_MILLIS = 1_500;
+
+    /** Time that an election takes, which is no part of the disruption that causes it. */
+    private static final long ELECTION_MILLIS = 1_500;
+
+    /** Longest time after its fault at which a late call is carried out. */
+    private static final long LATEST_CALL_MILLIS = 12_000;
+
     private static final long LONGEST_LEASE_MILLIS = 6_000;
     private static final long RUN_AGAIN_MILLIS = 6_000;
     private static final long END_MILLIS = 45_000;
 
+    /** Further time for the jobs that are left when workers were lost for good, in steps. */
+    private static final long FURTHER_MILLIS = 10_000;
+
+    private static final int MAX_FURTHER_COUNT = 10;
+
     private final class Leader implements StatusListener {
         private final PausableLoop mProcessLoop = new PausableLoop(mLoop);
         private final FaultyStore mConnection =
@@ -174,8 +213,15 @@
     private final VirtualLoop mLoop = new VirtualLoop();
     private final FakeStore mStore = new FakeStore(mLoop);
     private final Random mRandom;
+    private final long mSeed;
+    private final int mWorkerCount;
     private final Variant mVariant;
     private final Map<String, SimulatedWorker> mWorkers = new LinkedHashMap<>();
+    private final Set<String> mGoneForGood = new HashSet<>();
+
+    /** The incarnation of each worker whose entry was written last. */
+    private final Map<String, Integer> mRegistered = new HashMap<>();
+
     private final List<WorkerEntry> mEntries = new ArrayList<>();
     private final List<JobId> mJobs = new ArrayList<>();
     private final RunHistory mHistory;
@@ -184,41 +230,47 @@
     private long mEpoch;
     private boolean mCalm;
 
-    private RandomFaults(long seed, Variant variant) {
+    private RandomFaults(long seed, Variant variant, int workerCount) {
         mRandom = new Random(seed);
+        mSeed = seed;
+        mWorkerCount = workerCount;
         mVariant = variant;
         mHistory =
                 new RunHistory(
                         mLoop, () -> mWorkers.values().forEach(SimulatedWorker::expireLeases));
-        for (int number = 0; number < WORKER_COUNT; number++) {
-            SimulatedWorker worker =
-                    new SimulatedWorker(
-                            mLoop,
-                            "w" + number,
-                            LONGEST_LEASE_MILLIS,
-                            number % 2 == 0 ? 98 : 100,
-                            // Its own, so that the order of calls to several workers is irrelevant.
-                            new Random(seed * WORKER_COUNT + number),
-                            mHistory,
-                            new SimulatedWorker.Workload() {
-                                @Override
-                                public long durationMillis(TaskName task, Random random) {
-                                    return duration(task, random);
-                                }
-
-                                @Override
-                                public Resources size(TaskName task) {
-                                    return mHistory.step(task).size();
-                                }
-                            });
-            worker.hidesStoppingRuns = variant.hidesStoppingRuns();
-            worker.remembersAcknowledgements = variant.remembersAcknowledgements();
-            mWorkers.put(worker.name(), worker);
-            register(worker);
+        for (int number = 0; number < workerCount; number++) {
+            register(addWorker("w" + number, number));
         }
         mStartMillis = mLoop.nowMillis();
     }
 
+    private SimulatedWorker addWorker(String name, int number) {
+        SimulatedWorker worker =
+                new SimulatedWorker(
+                        mLoop,
+                        name,
+                        LONGEST_LEASE_MILLIS,
+                        number % 2 == 0 ? 98 : 100,
+                        // Its own, so that the order of calls to several workers is irrelevant.
+                        new Random(mSeed * mWorkerCount + number),
+                        mHistory,
+                        new SimulatedWorker.Workload() {
+                            @Override
+                            public long durationMillis(TaskName task, Random random) {
+                                return duration(task, random);
+                            }
+
+                            @Override
+                            public Resources size(TaskName task) {
+                                return mHistory.step(task).size();
+                            }
+                        });
+        worker.hidesStoppingRuns = mVariant.hidesStoppingRuns();
+        worker.remembersAcknowledgements = mVariant.remembersAcknowledgements();
+        mWorkers.put(name, worker);
+        return worker;
+    }
+
     private long duration(TaskName task, Random random) {
         boolean fails = !mCalm && random.nextInt(8) == 0;
         if (mHistory.step(task).longRunning()) {
@@ -237,10 +289,26 @@
      * @return the rules that were broken
      */
     static List<RunHistory.Violation> run(long seed, List<Event> schedule, Variant variant) {
-        return new RandomFaults(seed, variant).run(schedule);
+        return new RandomFaults(seed, variant, WORKER_COUNT).run(schedule, true);
     }
 
-    private List<RunHistory.Violation> run(List<Event> schedule) {
+    /**
+     * Runs through a schedule of {@link #lossSchedule}.
+     *
+     * @param seed seed of all delays
+     * @param schedule the events
+     * @return the rules that were broken
+     */
+    static List<RunHistory.Violation> runLoss(long seed, List<Event> schedule) {
+        // The workers that are left may lack the room for all tasks that last, so that only
+        // TASK_AWAY tells whether one of them has to run.
+        return new RandomFaults(seed, Variant.NONE, lossWorkerCount(seed)).run(schedule, false);
+    }
+
+    private List<RunHistory.Violation> run(List<Event> schedule, boolean roomForAll) {
+        if (!roomForAll) {
+            rewriteEntries();
+        }
         startLeader(new FormerLeader.Unknown());
         long endMillis = 2_000;
         for (Event event : schedule) {
@@ -254,11 +322,21 @@
             startLeader(new FormerLeader.Unknown());
         }
         advance(RUN_AGAIN_MILLIS);
-        mHistory.checkLongRunning(calmMillis + RUN_AGAIN_MILLIS - 1);
+        if (roomForAll) {
+            mHistory.checkLongRunning(calmMillis + RUN_AGAIN_MILLIS - 1);
+        }
         advance(END_MILLIS);
         Leader leader = mLeader;
         if (leader != null) {
-            mHistory.checkEnd(leader.mPhases);
+            Predicate<Resources> room = size -> roomForAll || isRoomTwice(size);
+            // Short jobs may have been waiting for too few workers until now.
+            for (int count = 0; !roomForAll && count < MAX_FURTHER_COUNT; count++) {
+                if (mHistory.allEnded(leader.mPhases, room)) {
+                    break;
+                }
+                advance(FURTHER_MILLIS);
+            }
+            mHistory.checkEnd(leader.mPhases, room);
         }
         return mHistory.mViolations;
     }
@@ -267,6 +345,7 @@
         for (long passedMillis = 0; passedMillis < millis; passedMillis += 50) {
             mLoop.advance(Math.min(50, millis - passedMillis));
             mWorkers.values().forEach(SimulatedWorker::expireLeases);
+            mHistory.checkAway(this::isRoomTwice);
             Leader leader = mLeader;
             if (leader != null && leader.mFirstRecordMillis < 0) {
                 leader.mFirstRecordMillis =
@@ -275,10 +354,62 @@
         }
     }
 
+    /** Returns whether the workers that are up have room for two tasks of a size. */
+    private boolean isRoomTwice(Resources size) {
+        int count = 0;
+        for (SimulatedWorker worker : mWorkers.values()) {
+            if (worker.isUp()) {
+                Resources free = worker.free();
+                count += size.times(2).fitsIn(free) ? 2 : size.fitsIn(free) ? 1 : 0;
+            }
+        }
+        return count >= 2;
+    }
+
+    /** Returns how long an event disrupts a worker, a link, the store or a leader. */
+    private static long disruptionMillis(Event event) {
+        long millis = event.millis();
+        return switch (event.kind()) {
+            case SUBMIT, SUBMIT_CHAIN, SUBMIT_LONG_RUNNING, SUBMIT_LASTING, SHORT_JOBS, CANCEL ->
+                    -1;
+            case LEASE_DROPPED, GONE, GONE_SILENTLY -> 0;
+            // A worker that is up counts as about to be registered.
+            case RESTART -> Math.max(0, millis - ENTRY_INTERVAL_MILLIS);
+            case DOWN,
+                    OTHER_WORKER,
+                    UNHEALTHY,
+                    ENTRY_REMOVED,
+                    FLAP,
+                    FLAP_AS_NEW,
+                    STARTS_REFUSED,
+                    STARTS_HANG,
+                    ORDERS_HANG,
+                    HANG ->
+                    millis;
+            case CUT, ANSWERS_LOST, JITTER, REFUSED -> millis + RunHistory.LINGER_MILLIS;
+            case LATE_CALLS -> millis + LATEST_CALL_MILLIS + RunHistory.LINGER_MILLIS;
+            case STORE_SLOW,
+                    STORE_UNANSWERED,
+                    STORE_LATE,
+                    STORE_REFUSED,
+                    STORE_DOWN,
+                    LEADER_PAUSED,
+                    LEADER_PAUSED_AND_REPLACED,
+                    LEADER_CUT_AND_REPLACED ->
+                    millis + RunHistory.LINGER_MILLIS;
+            case LEADER_KILLED, LEADER_RESIGNED ->
+                    Math.max(0, millis - ELECTION_MILLIS) + RunHistory.LINGER_MILLIS;
+        };
+    }
+
     private void apply(Event event) {
         SimulatedWorker worker =
-                Objects.requireNonNull(mWorkers.get("w" + event.target() % WORKER_COUNT));
+                Objects.requireNonNull(mWorkers.get("w" + event.target() % mWorkerCount));
         long untilMillis = mLoop.nowMillis() + event.millis();
+        long disruptionMillis = disruptionMillis(event);
+        if (disruptionMillis >= 0) {
+            mHistory.disrupted(disruptionMillis);
+        }
         switch (event.kind()) {
             case SUBMIT -> submit(LeaderFixture.step(1 + event.target() % 4, 1_000));
             case SUBMIT_CHAIN ->
@@ -287,6 +418,15 @@
                             LeaderFixture.step(1 + event.target() % 2, 1_000, 0));
             case SUBMIT_LONG_RUNNING ->
                     submit(LeaderFixture.longRunning(1 + event.target() % 2, 1_000));
+            case SUBMIT_LASTING ->
+                    submit(
+                            LeaderFixture.longRunning(
+                                    lastingCount(event.target()), lastingSize(event.target())));
+            case SHORT_JOBS -> {
+                // Its own, so that the jobs are the same in a schedule with fewer events.
+                Random random = new Random(mSeed * 13 + event.atMillis());
+                submitShortJobs(random, event.target(), untilMillis);
+            }
             case CANCEL -> cancel(event.target());
             case RESTART -> {
                 if (worker.isUp()) {
@@ -311,8 +451,21 @@
             case LEASE_DROPPED -> worker.dropLease();
             case ENTRY_REMOVED -> {
                 mStore.records(Topic.WORKERS).add(new KeyedRecord(worker.name(), null));
+                mRegistered.remove(worker.name());
                 mLoop.schedule(event.millis(), () -> register(worker));
             }
+            case GONE -> removeForGood(worker);
+            case GONE_SILENTLY -> {
+                worker.addFault(SimulatedWorker.Fault.CUT, Long.MAX_VALUE);
+                removeForGood(worker);
+            }
+            case FLAP -> flap(worker, untilMillis);
+            case FLAP_AS_NEW -> flapAsNew(worker, event.target(), 1, untilMillis);
+            case STARTS_REFUSED ->
+                    worker.addFault(SimulatedWorker.Fault.STARTS_REFUSED, untilMillis);
+            case STARTS_HANG -> worker.addFault(SimulatedWorker.Fault.STARTS_HANG, untilMillis);
+            case ORDERS_HANG -> worker.addFault(SimulatedWorker.Fault.ORDERS_HANG, untilMillis);
+            case HANG -> worker.addFault(SimulatedWorker.Fault.CUT, untilMillis);
             case STORE_SLOW -> disturbStore(FaultyStore.Fault.SLOW, event.millis());
             case STORE_UNANSWERED -> disturbStore(FaultyStore.Fault.UNANSWERED, event.millis());
             case STORE_LATE -> disturbStore(FaultyStore.Fault.LATE, event.millis());
@@ -326,6 +479,72 @@
         }
     }
 
+    private static int lastingCount(int target) {
+        return 1 + target / 5 % 4;
+    }
+
+    private static long lastingSize(int target) {
+        return switch (target % 5) {
+            case 0 -> 500;
+            case 1 -> 1_000;
+            case 2 -> 1_500;
+            case 3 -> 2_000;
+            default -> 3_000;
+        };
+    }
+
+    /** Submits short jobs that keep about as many cores busy as given. */
+    private void submitShortJobs(Random random, int cores, long untilMillis) {
+        if (mLoop.nowMillis() < untilMillis) {
+            int taskCount = 1 + random.nextInt(3);
+            submit(LeaderFixture.step(taskCount, 1_000));
+            // Tasks take 2,100 ms on average.
+            long pauseMillis = taskCount * 2_100L / Math.max(1, cores);
+            mLoop.schedule(pauseMillis, () -> submitShortJobs(random, cores, untilMillis));
+        }
+    }
+
+    /** Ends a worker, which may be down at the time, for good; its entry is removed later. */
+    private void removeForGood(SimulatedWorker worker) {
+        if (mGoneForGood.add(worker.name())) {
+            if (worker.isUp()) {
+                worker.crash();
+            }
+            mLoop.schedule(
+                    ENTRY_LIFE_MILLIS,
+                    () -> mStore.records(Topic.WORKERS).add(new KeyedRecord(worker.name(), null)));
+        }
+    }
+
+    private void flap(SimulatedWorker worker, long untilMillis) {
+        if (mLoop.nowMillis() < untilMillis) {
+            takeDown(worker, FLAP_PERIOD_MILLIS / 2);
+            mLoop.schedule(FLAP_PERIOD_MILLIS, () -> flap(worker, untilMillis));
+        }
+    }
+
+    /** Replaces a worker by a new one with another address, or, for odd targets, with the same. */
+    private void flapAsNew(SimulatedWorker worker, int target, int turn, long untilMillis) {
+        if (mLoop.nowMillis() >= untilMillis || !worker.isUp()) {
+            return;
+        }
+        removeForGood(worker);
+        mLoop.schedule(
+                FLAP_PERIOD_MILLIS / 2,
+                () -> {
+                    if (target % 2 == 1) {
+                        worker.addFault(SimulatedWorker.Fault.OTHER_WORKER, Long.MAX_VALUE);
+                    }
+                    SimulatedWorker successor =
+                            addWorker(worker.name() + "n", 100 * turn + target % mWorkerCount);
+                    successor.startAgain();
+                    mLoop.schedule(mRandom.nextInt(300), () -> register(successor));
+                    mLoop.schedule(
+                            FLAP_PERIOD_MILLIS / 2,
+                            () -> flapAsNew(successor, target, turn + 1, untilMillis));
+                });
+    }
+
     private void disturbLeader(Event event) {
         Leader leader = mLeader;
         if (leader == null) {
@@ -409,6 +628,9 @@
     }
 
     private void startAgain(SimulatedWorker worker, long registrationMillis) {
+        if (mGoneForGood.contains(worker.name())) {
+            return;
+        }
         worker.startAgain();
         if (mVariant.unregisteredAnswersOther()) {
             worker.addFault(
@@ -426,12 +648,27 @@
 
     private void register(SimulatedWorker worker) {
         if (worker.isUp()) {
+            mRegistered.put(worker.name(), worker.incarnation());
             byte[] value = String.valueOf(mEntries.size()).getBytes(StandardCharsets.UTF_8);
             mEntries.add(worker.entry());
             mStore.records(Topic.WORKERS).add(new KeyedRecord(worker.name(), value));
         }
     }
 
+    /** Writes the entries of the registered workers again and again, as workers do. */
+    private void rewriteEntries() {
+        mLoop.schedule(
+                ENTRY_INTERVAL_MILLIS,
+                () -> {
+                    mWorkers.values().stream().filter(this::isRegistered).forEach(this::register);
+                    rewriteEntries();
+                });
+    }
+
+    private boolean isRegistered(SimulatedWorker worker) {
+        return Integer.valueOf(worker.incarnation()).equals(mRegistered.get(worker.name()));
+    }
+
     private void submit(StepSpec... steps) {
         JobId job = new JobId("job" + mJobs.size());
         mJobs.add(job);
@@ -548,6 +785,130 @@
         }
     }
 
+    private static final List<Kind> LOSS_FAULTS =
+            List.of(
+                    Kind.GONE,
+                    Kind.GONE_SILENTLY,
+                    Kind.FLAP,
+                    Kind.FLAP_AS_NEW,
+                    Kind.STARTS_REFUSED,
+                    Kind.STARTS_HANG,
+                    Kind.ORDERS_HANG,
+                    Kind.HANG,
+                    Kind.UNHEALTHY,
+                    Kind.RESTART,
+                    Kind.DOWN);
+
+    /** Faults that make the start of a lost task fail. */
+    private static final List<Kind> START_FAULTS =
+            List.of(
+                    Kind.GONE,
+                    Kind.GONE_SILENTLY,
+                    Kind.GONE_SILENTLY,
+                    Kind.FLAP,
+                    Kind.FLAP_AS_NEW,
+                    Kind.STARTS_REFUSED,
+                    Kind.STARTS_HANG,
+                    Kind.ORDERS_HANG,
+                    Kind.UNHEALTHY);
+
+    /** Returns the number of workers for the schedule of a seed. */
+    static int lossWorkerCount(long seed) {
+        return MIN_LOSS_WORKER_COUNT + (int) Math.floorMod(seed, 3L);
+    }
+
+    /** Returns the schedule of a seed in which workers with long-running tasks are lost. */
+    static List<Event> lossSchedule(long seed) {
+        Random random = new Random(seed * 37 + 11);
+        List<Event> events = new ArrayList<>();
+        int workerCount = lossWorkerCount(seed);
+        int lengthMillis = 8_000 + random.nextInt(16_000);
+        long lastingMillicores = workerCount * (1_000L + random.nextInt(2_200));
+        while (lastingMillicores > 0) {
+            int target = random.nextInt(20);
+            events.add(new Event(random.nextInt(1_500), Kind.SUBMIT_LASTING, target, 0));
+            lastingMillicores -= lastingCount(target) * lastingSize(target);
+        }
+        if (random.nextInt(4) > 0) {
+            int cores = 1 + random.nextInt(2 * workerCount);
+            int atMillis = random.nextInt(3_000);
+            long millis = lengthMillis + random.nextInt(12_000);
+            events.add(new Event(atMillis, Kind.SHORT_JOBS, cores, millis));
+        }
+        int atMillis = 3_000 + random.nextInt(lengthMillis);
+        switch (random.nextInt(4)) {
+            case 0 -> {
+                for (int count = 1 + random.nextInt(3); count > 0; count--) {
+                    addFaults(events, random, workerCount, atMillis, LOSS_FAULTS);
+                    addChangeOfLeaders(events, random, atMillis);
+                    atMillis = 3_000 + random.nextInt(lengthMillis);
+                }
+            }
+            case 1 -> {
+                addLosses(events, random, workerCount, atMillis);
+                addChangeOfLeaders(events, random, atMillis);
+            }
+            default -> {
+                addLosses(events, random, workerCount, atMillis);
+                addChangeOfLeaders(events, random, atMillis);
+                // Up to the time at which the leases of the lost workers lapse.
+                for (int count = 1 + random.nextInt(3); count > 0; count--) {
+                    atMillis += 1_000 + random.nextInt(4_000);
+                    addFaults(events, random, workerCount, atMillis, START_FAULTS);
+                    addChangeOfLeaders(events, random, atMillis);
+                }
+            }
+        }
+        events.sort(Comparator.comparingLong(Event::atMillis));
+        return events;
+    }
+
+    /** Adds the loss of several workers at once, of which at least three are left. */
+    private static void addLosses(
+            List<Event> events, Random random, int workerCount, int atMillis) {
+        List<Kind> kinds =
+                random.nextBoolean() ? List.of(Kind.GONE) : List.of(Kind.GONE, Kind.GONE_SILENTLY);
+        int first = random.nextInt(workerCount);
+        for (int number = random.nextInt(workerCount - 3); number >= 0; number--) {
+            Kind kind = kinds.get(random.nextInt(kinds.size()));
+            events.add(new Event(atMillis, kind, (first + number) % workerCount, 0));
+        }
+    }
+
+    /** Adds up to four faults within three seconds, often several of the same kind. */
+    private static void addFaults(
+            List<Event> events, Random random, int workerCount, int atMillis, List<Kind> kinds) {
+        Kind kind = kinds.get(random.nextInt(kinds.size()));
+        for (int number = 1 + random.nextInt(4); number > 0; number--) {
+            int faultMillis = random.nextBoolean() ? atMillis : atMillis + random.nextInt(3_000);
+            int target = random.nextInt(workerCount);
+            events.add(new Event(faultMillis, kind, target, lossMillis(kind, random)));
+            if (random.nextBoolean()) {
+                kind = kinds.get(random.nextInt(kinds.size()));
+            }
+        }
+    }
+
+    /** Adds, two times of three, a change of leaders at most 2.5 s before or after a time. */
+    private static void addChangeOfLeaders(List<Event> events, Random random, int atMillis) {
+        if (random.nextInt(3) > 0) {
+            Kind change = random.nextBoolean() ? Kind.LEADER_KILLED : Kind.LEADER_RESIGNED;
+            int changeMillis = Math.max(0, atMillis - 2_500 + random.nextInt(5_000));
+            int electionMillis =
+                    change == Kind.LEADER_KILLED ? 800 + random.nextInt(700) : random.nextInt(600);
+            events.add(new Event(changeMillis, change, 0, electionMillis));
+        }
+    }
+
+    private static long lossMillis(Kind kind, Random random) {
+        return switch (kind) {
+            case FLAP, FLAP_AS_NEW -> 4_000 + random.nextInt(4_000);
+            case GONE, GONE_SILENTLY -> 0;
+            case RESTART -> random.nextInt(1_500);
+            default -> 2_000 + random.nextInt(5_000);
+        };
+    }
+
     private static long durationMillis(Random random) {
         return random.nextBoolean() ? random.nextInt(3_000) : random.nextInt(9_000);
     }
@@ -558,7 +919,9 @@
      * @return the rest, without which it is not
      */
     static List<Event> shrink(
-            long seed, List<Event> schedule, Variant variant, RunHistory.Rule rule) {
+            List<Event> schedule,
+            Function<List<Event>, List<RunHistory.Violation>> play,
+            RunHistory.Rule rule) {
         List<Event> rest = new ArrayList<>(schedule);
         boolean removed = true;
         while (removed) {
@@ -566,7 +929,7 @@
             for (int index = rest.size() - 1; index >= 0; index--) {
                 List<Event> fewer = new ArrayList<>(rest);
                 fewer.remove(index);
-                if (breaks(seed, fewer, variant, rule)) {
+                if (play.apply(fewer).stream().anyMatch(broken -> broken.rule() == rule)) {
                     rest = fewer;
                     removed = true;
                 }
@@ -575,14 +938,9 @@
         return rest;
     }
 
-    private static boolean breaks(
-            long seed, List<Event> schedule, Variant variant, RunHistory.Rule rule) {
-        return run(seed, schedule, variant).stream().anyMatch(broken -> broken.rule() == rule);
-    }
-
     /**
      * Runs a range of seeds and prints the broken rules: {@code FIRST COUNT [hides] [orders]
-     * [unregistered] [cursor] [shrink]}.
+     * [unregistered] [cursor] [shrink] [loss]}. With {@code loss} it plays {@link #lossSchedule}.
      */
     public static void main(String[] arguments) {
         long first = Long.parseLong(arguments[0]);
@@ -596,9 +954,13 @@
                         options.contains("cursor"));
         Map<RunHistory.Rule, Integer> counts = new HashMap<>();
         int brokenCount = 0;
+        boolean loss = options.contains("loss");
         for (long seed = first; seed < first + count; seed++) {
-            List<Event> schedule = schedule(seed);
-            List<RunHistory.Violation> violations = run(seed, schedule, variant);
+            long playedSeed = seed;
+            Function<List<Event>, List<RunHistory.Violation>> play =
+                    events -> loss ? runLoss(playedSeed, events) : run(playedSeed, events, variant);
+            List<Event> schedule = loss ? lossSchedule(seed) : schedule(seed);
+            List<RunHistory.Violation> violations = play.apply(schedule);
             if (violations.isEmpty()) {
                 continue;
             }
@@ -607,9 +969,9 @@
             counts.merge(rule, 1, Integer::sum);
             System.out.println("seed " + seed + ": " + violations.get(0));
             if (options.contains("shrink")) {
-                List<Event> rest = shrink(seed, schedule, variant, rule);
+                List<Event> rest = shrink(schedule, play, rule);
                 rest.forEach(event -> System.out.println("    " + event));
-                System.out.println("    " + run(seed, rest, variant));
+                System.out.println("    " + play.apply(rest));
             }
         }
         System.out.println(brokenCount + " of " + count + " seeds broke a rule: " + counts);
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaultsTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaultsTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -24,11 +25,30 @@
         return LongStream.of(22, 96, 97, 116, 138, 220, 478, 481, 493, 496, 510);
     }
 
+    static LongStream seedsOfLosses() {
+        return LongStream.rangeClosed(1, 200);
+    }
+
+    /** Seeds whose long-running tasks stay away after an order to a worker that is gone. */
+    static LongStream seedsOfLostTasks() {
+        return LongStream.of(433, 1_056, 3_543, 4_748, 6_556, 7_115, 9_511, 9_512);
+    }
+
     private static void check(long seed, RandomFaults.Variant variant) {
         List<RandomFaults.Event> schedule = RandomFaults.schedule(seed);
+        assertNoneBroken(seed, schedule, RandomFaults.run(seed, schedule, variant));
+    }
+
+    private static void checkLosses(long seed) {
+        List<RandomFaults.Event> schedule = RandomFaults.lossSchedule(seed);
+        assertNoneBroken(seed, schedule, RandomFaults.runLoss(seed, schedule));
+    }
+
+    private static void assertNoneBroken(
+            long seed, List<RandomFaults.Event> schedule, List<RunHistory.Violation> violations) {
         assertEquals(
                 List.of(),
-                RandomFaults.run(seed, schedule, variant),
+                violations,
                 () ->
                         "seed "
                                 + seed
@@ -61,4 +81,17 @@
     void noRuleIsBrokenWhereAcknowledgementsAreRemembered(long seed) {
         check(seed, new RandomFaults.Variant(false, false, false, true));
     }
+
+    @ParameterizedTest
+    @MethodSource("seedsOfLosses")
+    void noRuleIsBrokenWhereWorkersWithLongRunningTasksAreLost(long seed) {
+        checkLosses(seed);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seedsOfLostTasks")
+    @Tag("known-red")
+    void noTaskStaysAwayAfterAnOrderToAWorkerThatIsGone(long seed) {
+        checkLosses(seed);
+    }
 }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RunHistory.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RunHistory.java
@@ -2,9 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
 import org.hornbeamward.dispatch.fake.RunObserver;
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.dispatch.job.StepSpec;
@@ -12,6 +15,7 @@
 import org.hornbeamward.dispatch.port.Loop;
 import org.hornbeamward.dispatch.port.WorkerControl.EndKind;
 import org.hornbeamward.lib.JobId;
+import org.hornbeamward.lib.Resources;
 import org.jspecify.annotations.Nullable;
 
 /** All runs as the workers saw them, and the rules that they broke. */
@@ -22,6 +26,18 @@
     /** Longest time from a stored cancellation to the last start. */
     static final long CANCEL_MILLIS = 3_000;
 
+    /** Time from the end of its last run after which a task that lasts counts as away. */
+    static final long AWAY_MILLIS = 6_000;
+
+    /** How long such a task may stay away while there is room for it twice. */
+    static final long ROOM_MILLIS = 3_000;
+
+    /** How long it must have been calm when that time begins. */
+    static final long CALM_BEFORE_MILLIS = 4_000;
+
+    /** How long after its end a disruption of a leader, a link or the store counts. */
+    static final long LINGER_MILLIS = 4_000;
+
     /** What broke. */
     enum Rule {
         TWO_RUNS_AT_ONCE,
@@ -32,6 +48,8 @@
         JOB_NOT_ENDED,
         JOB_FAILED_WITHOUT_CAUSE,
         TASK_NOT_RUNNING,
+        /** A task that lasts was away for 9 s, with room for it twice, and all was calm. */
+        TASK_AWAY,
         RUN_OF_ENDED_JOB
     }
 
@@ -77,6 +95,15 @@
     private final Map<JobId, Long> mCancelledMillis = new HashMap<>();
     final List<Violation> mViolations = new ArrayList<>();
 
+    /** Monotonic time since which there has been room twice for a task that is away. */
+    private final Map<TaskName, Long> mRoomTwiceSinceMillis = new HashMap<>();
+
+    /** Tasks whose present absence is already among the violations. */
+    private final Set<TaskName> mReportedAway = new HashSet<>();
+
+    /** Monotonic time since which there has been no disruption, or from which there is none. */
+    private long mCalmSinceMillis;
+
     /** Monotonic time until which the leader or the store is disturbed, or was lately. */
     long mDisturbedUntilMillis;
 
@@ -97,6 +124,64 @@
         return mCancelledMillis.containsKey(job);
     }
 
+    /**
+     * Notes a disruption that begins now.
+     *
+     * @param millis its duration
+     */
+    void disrupted(long millis) {
+        mCalmSinceMillis = Math.max(mCalmSinceMillis, mLoop.nowMillis() + millis);
+    }
+
+    /**
+     * Checks that no task of a long-running job stays away although there is room for it twice.
+     *
+     * @param roomTwice whether the workers that are up have room for two tasks of a size
+     */
+    void checkAway(Predicate<Resources> roomTwice) {
+        mJobs.forEach(
+                (job, steps) -> {
+                    if (steps.get(0).longRunning() && !isCancelled(job)) {
+                        Resources size = steps.get(0).size();
+                        boolean room = roomTwice.test(size);
+                        for (int index = 0; index < steps.get(0).taskCount(); index++) {
+                            checkAway(new TaskName(job, 0, 0, index), room);
+                        }
+                    }
+                });
+    }
+
+    private void checkAway(TaskName task, boolean roomTwice) {
+        long now = mLoop.nowMillis();
+        if (!roomTwice) {
+            mRoomTwiceSinceMillis.remove(task);
+        }
+        long roomSinceMillis =
+                roomTwice ? mRoomTwiceSinceMillis.computeIfAbsent(task, key -> now) : now;
+        long endMillis = runs(task).stream().mapToLong(run -> run.mEndMillis).max().orElse(now);
+        if (endMillis >= now) {
+            mReportedAway.remove(task);
+            return;
+        }
+        long sinceMillis =
+                Math.max(
+                        Math.max(endMillis + AWAY_MILLIS, mCalmSinceMillis + CALM_BEFORE_MILLIS),
+                        roomSinceMillis);
+        if (now - sinceMillis >= ROOM_MILLIS && mReportedAway.add(task)) {
+            violate(
+                    Rule.TASK_AWAY,
+                    task
+                            + " of "
+                            + step(task).size()
+                            + ", room since "
+                            + roomSinceMillis
+                            + ", calm since "
+                            + mCalmSinceMillis
+                            + ": "
+                            + runs(task));
+        }
+    }
+
     private List<StepSpec> steps(JobId job) {
         return mJobs.getOrDefault(job, List.of());
     }
@@ -201,14 +286,22 @@
                 });
     }
 
-    /** Checks the runs of ended jobs and the phases of the others, some time after all faults. */
-    void checkEnd(Map<JobId, JobPhase> phases) {
+    /**
+     * Checks the runs of ended jobs and the phases of the others, some time after all faults.
+     *
+     * @param phases the phases as the leader reported them
+     * @param room whether the workers that are left have room for tasks of a size
+     */
+    void checkEnd(Map<JobId, JobPhase> phases, Predicate<Resources> room) {
         mJobs.forEach(
                 (job, steps) -> {
                     JobPhase phase = phases.get(job);
                     boolean longRunning = steps.get(0).longRunning();
                     boolean ended = phase != null && phase.terminal();
-                    if (!ended && (isCancelled(job) || !longRunning)) {
+                    boolean waitsForRoom =
+                            !isCancelled(job)
+                                    && steps.stream().noneMatch(step -> room.test(step.size()));
+                    if (!ended && !waitsForRoom && (isCancelled(job) || !longRunning)) {
                         violate(Rule.JOB_NOT_ENDED, job + " is " + phase);
                     }
                     if (phase == JobPhase.FAILED && !hasFailedTooOften(job)) {
@@ -228,6 +321,19 @@
                 });
     }
 
+    /** Returns whether no job is left that waits although there is room for it. */
+    boolean allEnded(Map<JobId, JobPhase> phases, Predicate<Resources> room) {
+        return mJobs.entrySet().stream()
+                .allMatch(
+                        entry -> {
+                            JobPhase phase = phases.get(entry.getKey());
+                            List<StepSpec> steps = entry.getValue();
+                            return steps.get(0).longRunning()
+                                    || (phase != null && phase.terminal())
+                                    || steps.stream().noneMatch(s -> room.test(s.size()));
+                        });
+    }
+
     private boolean hasFailedTooOften(JobId job) {
         return mRuns.entrySet().stream()
                 .filter(entry -> entry.getKey().job().equals(job))
