Ask a worker without contact before a lost task starts there

Cause: a worker without runs is not polled, so the leader does not notice that it is gone until its entry lapses. The order gets no answer, and the task is placed again only when the longest lease must have lapsed. The same wait for a worker with runs was prolonged by the poll that follows a failed one, which renewed the leases once more.

A task that lasts and was interrupted is now ordered only on a worker that has just answered, or whose waiting poll would show its end; any other one is polled first, for 1.5 s at most, and its room is kept meanwhile. Polls of a silent worker, and of one without runs, renew no leases.

Weighed and left out: polling all workers without runs, which costs up to two calls a second for each and still leaves the time between two polls.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/AwayTasks.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/AwayTasks.java
@@ -363,6 +363,9 @@
                     + " ms; "
                     + workers;
         }
+        if (task.askedSinceMillis != Long.MAX_VALUE && room.eligibleCount() > 0) {
+            return "waits for the answer of a worker; " + workers;
+        }
         return (room.eligibleCount() == 0 ? "waits for a worker; " : "waits although there is ")
                 + workers;
     }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -51,6 +51,12 @@
     /** Interval at which the worker to hold for a task is chosen anew. */
     private static final long HOLD_SEARCH_INTERVAL_MILLIS = 100;
 
+    /**
+     * Longest time for which a task that lasts waits for answers of the workers that it could start
+     * on. One that is gone is noticed within a second, and a slow leader must not ask for ever.
+     */
+    private static final long MAX_ASK_MILLIS = 1_500;
+
     /** A move is worth its cost if the interference falls below this share of the present one. */
     private static final double WORTHWHILE_INTERFERENCE_SHARE = 0.4;
 
@@ -468,6 +474,7 @@
                                 "",
                                 waitedMillis(task, nowMillis));
                 if (run == null) {
+                    task.askedSinceMillis = Long.MAX_VALUE;
                     holdRoom(pass, task);
                     mWaitingTasks.add(task, nowMillis - task.waitingSinceMillis, filter);
                     if (keepsRoom(step)) {
@@ -478,11 +485,30 @@
                     }
                     return;
                 }
-                addRun(pass, run);
+                if (mustAsk(run, nowMillis)) {
+                    task.askedSinceMillis = Math.min(task.askedSinceMillis, nowMillis);
+                    run.worker.ask();
+                    pass.candidate(run.worker).keepFree(step.spec);
+                } else {
+                    task.askedSinceMillis = Long.MAX_VALUE;
+                    addRun(pass, run);
+                }
             }
         }
     }
 
+    /**
+     * Returns whether an interrupted task has to wait for an answer of its worker. An order without
+     * an answer would keep the task away until all leases must have lapsed there.
+     */
+    private static boolean mustAsk(Run run, long nowMillis) {
+        Task task = run.task;
+        return task.step.spec.longRunning()
+                && task.interrupted(nowMillis)
+                && !run.worker.isInContact()
+                && nowMillis - Math.min(nowMillis, task.askedSinceMillis) < MAX_ASK_MILLIS;
+    }
+
     private static boolean keepsRoom(Step step) {
         return step.spec.longRunning() && !step.spec.filler();
     }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Task.java
@@ -61,6 +61,12 @@
     /** Monotonic time at which a worker to hold was last looked for. */
     public long holdSearchedMillis = Long.MIN_VALUE / 2;
 
+    /**
+     * Monotonic time since which workers have been asked before one gets the task; {@code
+     * Long.MAX_VALUE} if none has been.
+     */
+    public long askedSinceMillis = Long.MAX_VALUE;
+
     /** Number of moves to another worker, away from serving tasks or from a slow worker. */
     public int moveCount;
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -89,11 +89,6 @@
     /** Number of failed polls in a row after which a worker gets no new tasks. */
     private static final int SILENT_POLL_COUNT = 1;
 
-    /**
-     * Number of failed polls in a row after which leases are no longer renewed, so that they lapse.
-     */
-    private static final int NO_RENEWAL_POLL_COUNT = 2;
-
     /**
      * Interval at which the stored lease bound of a silent worker is brought up to date. A
      * successor waits longer by up to this time, since it does not know when the bound was written.
@@ -264,6 +259,9 @@
     /** Whether a poll has been answered. */
     private boolean mReached;
 
+    /** Whether a decision waits for the answer to a poll. */
+    private boolean mAsked;
+
     WorkerSession(Loop loop, WorkerControl control, Supervisor supervisor, WorkerEntry entry) {
         mLoop = loop;
         mControl = control;
@@ -735,6 +733,22 @@
                 && mLoop.nowMillis() - mPollSentMillis >= SILENT_POLL_INTERVAL_MILLIS;
     }
 
+    /**
+     * Returns whether the worker has answered a moment ago, or a poll is in flight that would show
+     * that it is gone.
+     */
+    boolean isInContact() {
+        return hasJustAnswered() || (mPollInFlight && !mAsked);
+    }
+
+    /** Polls a worker that is not in contact; a placement pass follows on the answer. */
+    void ask() {
+        if (!mClosed && !mPollInFlight && mSupervisor.mayOrder()) {
+            mAsked = true;
+            sendPoll();
+        }
+    }
+
     private void sendAcknowledgePoll() {
         mAcknowledgePollScheduled = false;
         if (!mClosed
@@ -751,8 +765,7 @@
         mPollSentMillis = sentMillis;
         // A poll without an answer may have renewed the leases. So that they lapse, the polls of a
         // silent worker and the first one of a worker with inherited runs do not renew them.
-        boolean renews =
-                mFailedPollCount < NO_RENEWAL_POLL_COUNT && !mLeaseBoundStored && !isUnreached();
+        boolean renews = !silent() && !mLeaseBoundStored && !mRuns.isEmpty() && !isUnreached();
         long leaseMillis = renews ? mSupervisor.leaseMillis() : 0;
         Long deadlineClockMillis = leaseMillis > 0 ? clockNowMillis() + leaseMillis : null;
         mOfferedLeaseClockMillis = deadlineClockMillis == null ? 0 : deadlineClockMillis;
@@ -825,6 +838,10 @@
         if (mClosed) {
             return;
         }
+        if (mAsked) {
+            mAsked = false;
+            mSupervisor.requestPass();
+        }
         switch (outcome) {
             case PollOutcome.Seen seen -> {
                 if (seen.incarnationStartWallMillis() != 0
