Store with a job what it needs to end, so that a removed route loses none

Callers saw: a job that was answered with 200 stayed unfinished after a configuration had removed its route and the leader had changed; a task that lasts was not started again after its worker was lost. Without a change of leaders it happened to jobs accepted within milliseconds of the removal.

Cause: a submission named its queue only. A leader that never had a configuration with the queue while it knew the job had no Job.queue, and Scheduler.rank passes over such a job. The last known queue was kept in memory, for the same leader.

Change: the accepting entry stores the configuration of the queue in the submission, at most 2,048 bytes (SubmissionTest at the bound; a longer one is left out). It follows on the fields of before, so older builds skip it, and records without it are read as before. JobTable uses it until a configuration has the queue; while one has it, its values hold as before. Equal ones are shared in memory. This works for any later leader since the record is what every leader loads, and for the race since the record brings the queue along. Rule ROUTE forbids a service "to which no configuration sends the queue", so the service at acceptance is allowed.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -421,7 +421,7 @@
         }
         long arrivedMillis = mLoop.nowMillis();
         Submission submission =
-                new Submission(job, queue.name(), account, mLoop.wallMillis(), spec);
+                new Submission(job, queue.name(), account, mLoop.wallMillis(), spec, queue);
         KeyedRecord record = new KeyedRecord(JobKeys.submission(job), submission.encode());
         return mJobsWriter
                 .store(record, deadlineMillis)
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/Submission.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/Submission.java
@@ -4,8 +4,12 @@
 import java.util.Optional;
 import org.hornbeamward.codec.Reader;
 import org.hornbeamward.codec.Writer;
+import org.hornbeamward.dispatch.config.QueueCodec;
+import org.hornbeamward.dispatch.config.QueueConfig;
+import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.lib.JobId;
 import org.hornbeamward.lib.Resources;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A submission, as it is stored.
@@ -16,9 +20,17 @@
  * @param acceptedWallMillis time of day of the first attempt to submit the job to this entry, in
  *     Unix milliseconds
  * @param spec what to run
+ * @param acceptedQueue configuration of the queue when the job was accepted, with which the job
+ *     ends if a later configuration lacks the queue; null if an older build stored the submission,
+ *     or if the queue's configuration is longer than {@link QueueCodec#MAX_BYTES}
  */
 public record Submission(
-        JobId job, String queue, String account, long acceptedWallMillis, JobSpec spec) {
+        JobId job,
+        String queue,
+        String account,
+        long acceptedWallMillis,
+        JobSpec spec,
+        @Nullable QueueConfig acceptedQueue) {
     private static final int FORMAT = 1;
     private static final int FIELD_COUNT = 7;
 
@@ -28,7 +40,21 @@
     private static final int STEP_FIELD_COUNT = 18;
 
     /**
-     * Creates a submission without a client account.
+     * Creates a submission without the configuration of its queue, as older builds stored it.
+     *
+     * @param job id chosen by the caller
+     * @param queue name of the queue
+     * @param account name of the client account; empty for none
+     * @param acceptedWallMillis time of day of the first attempt, in Unix milliseconds
+     * @param spec what to run
+     */
+    public Submission(
+            JobId job, String queue, String account, long acceptedWallMillis, JobSpec spec) {
+        this(job, queue, account, acceptedWallMillis, spec, null);
+    }
+
+    /**
+     * Creates a submission without a client account and the configuration of its queue.
      *
      * @param job id chosen by the caller
      * @param queue name of the queue
@@ -36,11 +62,22 @@
      * @param spec what to run
      */
     public Submission(JobId job, String queue, long acceptedWallMillis, JobSpec spec) {
-        this(job, queue, "", acceptedWallMillis, spec);
+        this(job, queue, "", acceptedWallMillis, spec, null);
     }
 
     /**
-     * Encodes the submission, without the id, which is the record's key.
+     * Replaces the configuration of the queue.
+     *
+     * @param replacement the other configuration; null for none
+     * @return a submission that differs only in it
+     */
+    public Submission withAcceptedQueue(@Nullable QueueConfig replacement) {
+        return new Submission(job, queue, account, acceptedWallMillis, spec, replacement);
+    }
+
+    /**
+     * Encodes the submission, without the id, which is the record's key. The configuration of the
+     * queue follows on the fields that older builds know; they read only these.
      *
      * @return the bytes
      */
@@ -57,6 +94,10 @@
         if (!account.isEmpty()) {
             writer.text(account);
         }
+        byte[] queueBytes = acceptedQueue == null ? new byte[0] : QueueCodec.encode(acceptedQueue);
+        if (queueBytes.length > 0 && queueBytes.length <= QueueCodec.MAX_BYTES) {
+            writer.bytes(queueBytes);
+        }
         return writer.toBytes();
     }
 
@@ -97,7 +138,18 @@
         if (problem.isPresent()) {
             throw reader.malformed(problem.get());
         }
-        return new Submission(job, queue, account, acceptedWallMillis, spec);
+        QueueConfig acceptedQueue = reader.hasNext() ? readQueue(job, queue, reader) : null;
+        return new Submission(job, queue, account, acceptedWallMillis, spec, acceptedQueue);
+    }
+
+    /** The job was accepted, so it is kept even if the configuration of its queue is malformed. */
+    private static @Nullable QueueConfig readQueue(JobId job, String queue, Reader reader) {
+        try {
+            return QueueCodec.decode(queue, reader.bytes());
+        } catch (Reader.MalformedInputException e) {
+            LogEvent.RECORD_SKIPPED.log(e, "queue in the submission of job " + job);
+            return null;
+        }
     }
 
     private static void write(Writer writer, StepSpec step) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Job.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Job.java
@@ -13,7 +13,10 @@
 final class Job {
     public final Submission submission;
 
-    /** Configuration of its queue, from the newest configuration that contains the queue. */
+    /**
+     * Configuration of its queue, from the newest configuration that contains the queue, or else
+     * from the submission; null only if neither has it.
+     */
     public @Nullable QueueConfig queue;
 
     /** Its client account, from the newest configuration that contains the account. */
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
@@ -25,6 +25,7 @@
     private final Map<JobId, KnownCancellation> mCancellations = new HashMap<>();
     private final Set<Job> mChanged = new LinkedHashSet<>();
     private final Set<JobId> mUnreadable = new HashSet<>();
+    private final SharedQueues mSharedQueues = new SharedQueues();
     private @Nullable ClusterConfig mConfig;
 
     /** A cancellation and the monotonic time at which this leader read it. */
@@ -35,7 +36,10 @@
         mActive.forEach(this::applyConfig);
     }
 
-    /** A job whose queue or account is no longer configured keeps the last known one. */
+    /**
+     * A job whose queue or account is no longer configured keeps the last known one; the queue's
+     * configuration at acceptance is stored with the job.
+     */
     private void applyConfig(Job job) {
         ClusterConfig config = mConfig;
         if (config == null) {
@@ -77,7 +81,8 @@
             return null;
         }
         try {
-            Job job = new Job(Submission.decode(id, value), null);
+            Submission submission = mSharedQueues.share(Submission.decode(id, value));
+            Job job = new Job(submission, submission.acceptedQueue());
             applyConfig(job);
             mJobs.put(id, job);
             mActive.add(job);
