Answer GET and DELETE of the jobs of a removed route truthfully

Callers saw: 404 "no such queue" to GET and DELETE of a job that was accepted and was still running or had ended, as soon as a configuration had removed its route. PROTOCOL asks for its state for at least status_s.

Cause: CallerHttpHandler looked for the route in the configuration in force before it looked for the job, and the table of jobs at an entry held the name of the queue, not its host and prefix.

Change: with the first report of a job the leader sends the queue of its record; with the whole table, those of all jobs. They follow on what older builds read of the message. A GET or DELETE looks first for a job of that id which was accepted on this host and prefix and whose queue is not configured (RemovedRoutes). All else on the route stays 404: POST, pending, other ids, a job of another account. It works after a restart of all entries, since the record has the route, and the order of removal and request no longer matters.

One answer differs for a job that does not exist: a GET or DELETE with an id on a route that is not configured is answered 404 after 0.25 s instead of at once, and 503 while the entry cannot know whether the job exists (where a configured route has 503 instead of 410). POST and pending are 404 at once, as before.

Left: a nested unknown job (removed prefix inside a configured one) is 410 at once, as before; a route that keeps its name and changes its prefix shows earlier jobs at the new prefix only.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
@@ -271,6 +271,41 @@
         assertTrue(mStore.records(Topic.JOBS).isEmpty());
     }
 
+    /** Guards against a job that is denied at an entry on which its route was never configured. */
+    @Test
+    void aJobOfARemovedRouteIsFoundOnceTheLeaderReportsIt() {
+        QueueConfig removed =
+                new QueueConfig("removed", "host", "/r/", "pool", 0, 3, 2.0, 250, false, false, 0);
+        CompletableFuture<RemovedRoutes.Lookup> answer =
+                mNode.removedRoutes().await("host", "/r/", JOB);
+        mLoop.advance(100);
+        StatusTable.Row row = new StatusTable.Row(JOB, "removed", "", JobPhase.RUNNING);
+        mFeed.mReceiver
+                .orElseThrow()
+                .received(new FeedMessage.Phases(false, false, List.of(row), List.of(removed)));
+        mLoop.advance(200);
+
+        assertEquals(new RemovedRoutes.Lookup.Found(removed), answer.join());
+        assertEquals(new JobOutcome.Known(JobPhase.RUNNING), mNode.phase(removed, "", JOB).join());
+        assertTrue(mNode.removedRoutes().find("host", "/q/", JOB).isEmpty());
+    }
+
+    /** Guards against an entry that denies a job without knowing which jobs there are. */
+    @Test
+    void anEntryWithoutTheLeaderDoesNotDenyAJobOfARemovedRoute() {
+        CompletableFuture<RemovedRoutes.Lookup> known =
+                mNode.removedRoutes().await("host", "/r/", JOB);
+        mLoop.advance(300);
+        assertInstanceOf(RemovedRoutes.Lookup.NoSuchJob.class, known.join());
+
+        mLoop.suspend(10_000);
+        CompletableFuture<RemovedRoutes.Lookup> unknown =
+                mNode.removedRoutes().await("host", "/r/", JOB);
+        mLoop.advance(300);
+
+        assertInstanceOf(RemovedRoutes.Lookup.Unavailable.class, unknown.join());
+    }
+
     private Access authorize(String key) {
         return mNode.authorize(QUEUE, List.of("Bearer " + key));
     }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/RemovedRouteTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/RemovedRouteTest.java
@@ -6,7 +6,11 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.vavr.control.Either;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
@@ -86,6 +90,10 @@
     }
 
     private EntryNode startLeader() {
+        return startLeader(newFeedServer());
+    }
+
+    private EntryNode startLeader(FeedServer feedServer) {
         EntryNode node =
                 new EntryNode(
                         mLoop,
@@ -95,7 +103,7 @@
                         new DispatchLimits(6_000, 200, 120_000, 1.0, 1_000),
                         KeyPolicy.UNBOUNDED,
                         new NoFeed(),
-                        newFeedServer(),
+                        feedServer,
                         new Random(1),
                         "entry",
                         "127.0.0.1:2");
@@ -234,4 +242,37 @@
 
         assertEquals(new JobOutcome.Known(JobPhase.FAILED), phase(second));
     }
+
+    private static FeedMessage readMessage(DataInputStream input) throws IOException {
+        return FeedMessage.decode(input.readNBytes(input.readInt()));
+    }
+
+    /** Guards against entries that never learn the route of a job that another one accepted. */
+    @Test
+    void theLeaderTellsTheOtherEntriesTheRouteOfANewJobOnce() throws IOException {
+        FeedServer feedServer = newFeedServer();
+        EntryNode leader = startLeader(feedServer);
+        try (Socket socket = new Socket("127.0.0.1", feedServer.port())) {
+            socket.setSoTimeout(10_000);
+            DataInputStream input = new DataInputStream(socket.getInputStream());
+            // The whole table comes before the first heartbeat.
+            FeedMessage initial;
+            do {
+                initial = readMessage(input);
+            } while (!(initial instanceof FeedMessage.Heartbeat));
+            submit(leader, step(false));
+            mLoop.advance(1_000);
+            List<JobPhase> phases = new ArrayList<>();
+            List<QueueConfig> queues = new ArrayList<>();
+            while (!phases.contains(JobPhase.COMPLETED)) {
+                if (readMessage(input) instanceof FeedMessage.Phases message) {
+                    message.rows().forEach(row -> phases.add(row.phase()));
+                    queues.addAll(message.queues());
+                }
+            }
+
+            assertEquals(List.of(QUEUE), queues);
+            assertEquals(JobPhase.QUEUED, phases.get(0));
+        }
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -79,9 +79,6 @@
     /** How long a request for an unknown job waits for an update from the leader. */
     private static final long UNKNOWN_JOB_WAIT_MILLIS = 250;
 
-    /** Rows in one message, which keeps it far below the maximum frame size. */
-    private static final int ROWS_PER_MESSAGE = 1_000;
-
     /**
      * Time after which a refused caller may try again: the shortest time in which the store or a
      * leader becomes available again.
@@ -171,7 +168,8 @@
     private final JobsWriter mJobsWriter;
     private final TopicFollower mOperatorFollower;
     private final Election mElection;
-    private final List<StatusTable.Row> mUnsentRows = new ArrayList<>();
+    private final FeedBatch mUnsent = new FeedBatch();
+    private final RemovedRoutes mRemovedRoutes;
     private SchedulingOptions mOptions = SchedulingOptions.DEFAULT;
     private @Nullable ClusterConfig mConfig;
     private @Nullable Dispatcher mDispatcher;
@@ -219,6 +217,12 @@
         mFeed = feed;
         mFeedServer = feedServer;
         mJobsWriter = new JobsWriter(loop, store);
+        mRemovedRoutes =
+                new RemovedRoutes(
+                        loop,
+                        mStatus,
+                        () -> mConfig,
+                        job -> !isStatusFresh() || mLocallyAcceptedJobs.contains(job));
         mOperatorFollower =
                 new TopicFollower(
                         loop,
@@ -377,6 +381,15 @@
         return Optional.ofNullable(mConfig);
     }
 
+    /**
+     * Returns the finder of jobs whose routes have been removed.
+     *
+     * @return the finder
+     */
+    public RemovedRoutes removedRoutes() {
+        return mRemovedRoutes;
+    }
+
     /**
      * Checks whether a caller may use a queue.
      *
@@ -595,12 +608,7 @@
         if (dispatcher == null || !dispatcher.isReady()) {
             return messages;
         }
-        List<StatusTable.Row> rows = new ArrayList<>(mStatus.rows());
-        for (int from = 0; from <= rows.size(); from += ROWS_PER_MESSAGE) {
-            int to = Math.min(rows.size(), from + ROWS_PER_MESSAGE);
-            boolean last = from + ROWS_PER_MESSAGE > rows.size();
-            messages.add(new FeedMessage.Phases(from == 0, last, rows.subList(from, to)));
-        }
+        messages.addAll(FeedBatch.ofTable(mStatus));
         messages.add(createHeartbeat(dispatcher));
         return messages;
     }
@@ -644,9 +652,8 @@
     }
 
     private void flushRows() {
-        if (!mUnsentRows.isEmpty()) {
-            mFeedServer.broadcast(new FeedMessage.Phases(false, false, mUnsentRows));
-            mUnsentRows.clear();
+        if (!mUnsent.isEmpty()) {
+            mUnsent.takeMessages().forEach(mFeedServer::broadcast);
         }
     }
 
@@ -714,12 +721,17 @@
             StatusTable.Row row =
                     new StatusTable.Row(
                             submission.job(), submission.queue(), submission.account(), phase);
+            QueueConfig newJobsQueue =
+                    mStatus.get(submission.job()) == null ? submission.acceptedQueue() : null;
             recordPhase(row, mStatusComplete);
+            if (newJobsQueue != null) {
+                mStatus.putAcceptedQueue(newJobsQueue);
+            }
             if (mStatusComplete) {
-                if (mUnsentRows.isEmpty()) {
+                if (mUnsent.isEmpty()) {
                     mLoop.schedule(0, EntryNode.this::flushRows);
                 }
-                mUnsentRows.add(row);
+                mUnsent.add(row, newJobsQueue);
             }
         }
 
@@ -783,6 +795,7 @@
             for (StatusTable.Row row : phases.rows()) {
                 recordPhase(row, complete);
             }
+            phases.queues().forEach(mStatus::putAcceptedQueue);
         }
 
         @Override
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/FeedMessage.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/FeedMessage.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import org.hornbeamward.codec.Reader;
 import org.hornbeamward.codec.Writer;
+import org.hornbeamward.dispatch.config.QueueCodec;
+import org.hornbeamward.dispatch.config.QueueConfig;
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.lib.JobId;
 
@@ -35,11 +37,19 @@
      * @param first whether the receiver must clear its table first
      * @param last whether the receiver's table is complete after this message
      * @param rows jobs with their phases
+     * @param queues queues of these and of earlier rows, as configured when the jobs were accepted
      */
-    record Phases(boolean first, boolean last, List<StatusTable.Row> rows) implements FeedMessage {
-        /** Copies the rows. */
+    record Phases(boolean first, boolean last, List<StatusTable.Row> rows, List<QueueConfig> queues)
+            implements FeedMessage {
+        /** Copies the lists. */
         public Phases {
             rows = List.copyOf(rows);
+            queues = List.copyOf(queues);
+        }
+
+        /** Creates a message without queues. */
+        Phases(boolean first, boolean last, List<StatusTable.Row> rows) {
+            this(first, last, rows, List.of());
         }
     }
 
@@ -78,7 +88,14 @@
                                                     .text(row.job())
                                                     .text(row.queue())
                                                     .text(row.account())
-                                                    .integer(row.phase().ordinal()));
+                                                    .integer(row.phase().ordinal()))
+                            // Behind what older builds read, which ignore the rest.
+                            .list(
+                                    phases.queues(),
+                                    queue ->
+                                            writer.array(2)
+                                                    .text(queue.name())
+                                                    .bytes(QueueCodec.encode(queue)));
             case JobsRemoved removed -> writer.integer(2).list(removed.jobs(), writer::text);
         }
         return writer.toBytes();
@@ -115,7 +132,13 @@
                                     reader.text(),
                                     reader.constant(JobPhase.values())));
                 }
-                yield new Phases(first, last, rows);
+                int queueCount = reader.hasNext() ? reader.array() : 0;
+                List<QueueConfig> queues = new ArrayList<>();
+                for (int index = 0; index < queueCount; index++) {
+                    reader.array(2);
+                    queues.add(QueueCodec.decode(reader.text(), reader.bytes()));
+                }
+                yield new Phases(first, last, rows, queues);
             }
             case 2 -> {
                 int count = reader.array();
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/StatusTable.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/StatusTable.java
@@ -1,8 +1,12 @@
 package org.hornbeamward.dispatch.entry;
 
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.hornbeamward.dispatch.config.QueueConfig;
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.lib.JobId;
 import org.jspecify.annotations.Nullable;
@@ -25,6 +29,7 @@
     }
 
     private final Map<JobId, Row> mRows = new LinkedHashMap<>();
+    private final AcceptedQueues mAcceptedQueues = new AcceptedQueues();
 
     @Nullable Row get(JobId job) {
         return mRows.get(job);
@@ -40,6 +45,28 @@
 
     void clear() {
         mRows.clear();
+        mAcceptedQueues.clear();
+    }
+
+    /** Adds the queue of a job that is in the table, as configured when the job was accepted. */
+    void putAcceptedQueue(QueueConfig queue) {
+        mAcceptedQueues.put(queue, this::queueNames);
+    }
+
+    private Set<String> queueNames() {
+        Set<String> names = new HashSet<>();
+        mRows.values().forEach(row -> names.add(row.queue()));
+        return names;
+    }
+
+    Collection<QueueConfig> acceptedQueues() {
+        return mAcceptedQueues.all();
+    }
+
+    /** Returns the queue of a job, if the job was accepted on a route. */
+    Optional<QueueConfig> acceptedQueue(JobId job, String host, String pathPrefix) {
+        Row row = mRows.get(job);
+        return row == null ? Optional.empty() : mAcceptedQueues.find(row.queue(), host, pathPrefix);
     }
 
     Collection<Row> rows() {
