Let a gang that waits for room keep no smaller gang waiting

Cause: a pass remembers demands that found no worker, so that it need not look for room for others that are no smaller. The member of a gang for which the room was not enough was remembered too, although the room that the members before it held was given back.

Nothing is remembered while members of a gang hold room. The first member is, since no room is held then.

GangTest.aGangThatDoesNotFitDoesNotKeepASmallerOneWaiting failed before (0 of 2 tasks at work) and passes.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GangTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GangTest.java
@@ -134,4 +134,16 @@
         assertEquals(JobPhase.FAILED, mFixture.mPhases.get(job));
         assertEquals(3 * 2, mFixture.startedCount());
     }
+
+    /** Guards against a gang that waits for room and keeps smaller ones behind it waiting. */
+    @Test
+    void aGangThatDoesNotFitDoesNotKeepASmallerOneWaiting() {
+        mFixture.startDispatcher(1);
+        mFixture.submit("large", LeaderFixture.gang(3, 3_000));
+        mFixture.mLoop.advance(300);
+        assertEquals(0, mFixture.runningCount());
+        mFixture.submit("small", LeaderFixture.gang(2, 3_000));
+        mFixture.mLoop.advance(300);
+        assertEquals(2, mFixture.runningCount());
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -119,6 +119,9 @@
         private int mHoldCount;
         private long mLookedAtCount;
 
+        /** Whether a gang holds room of which it is not known yet whether all members fit. */
+        private boolean mGangHoldsRoom;
+
         Pass(long nowMillis) {
             mNowMillis = nowMillis;
         }
@@ -185,8 +188,12 @@
             return unplaced.step().estimateMillis() <= demand.step().estimateMillis();
         }
 
+        /**
+         * Remembers a demand without a worker. While members of a gang hold room that they give
+         * back if not all of them fit, the demand says nothing about others.
+         */
         private void recordUnplaced(Demand demand) {
-            if (demand.isUnrestricted()) {
+            if (demand.isUnrestricted() && !mGangHoldsRoom) {
                 mUnplaced.computeIfAbsent(demand.kind(), key -> new ArrayList<>()).add(demand);
             }
         }
@@ -631,20 +638,27 @@
             }
             attempt = Math.max(attempt, task.lastAttempt + 1);
         }
+        List<Run> members = placeMembers(pass, step, attempt);
+        pass.mGangHoldsRoom = false;
+        members.forEach(member -> releaseRoom(pass, member));
+        if (members.size() == step.tasks.length) {
+            members.forEach(member -> addRun(pass, member));
+        }
+    }
+
+    /** Reserves room for the tasks of a gang, up to the first one that finds none. */
+    private List<Run> placeMembers(Pass pass, Step step, int attempt) {
         List<Run> members = new ArrayList<>();
         for (Task task : step.tasks) {
             Run run = placeTask(pass, task, attempt, rackOf(members, step), 0);
             if (run == null) {
-                members.forEach(member -> releaseRoom(pass, member));
-                return;
+                break;
             }
             members.add(run);
             reserveRoom(pass, run);
+            pass.mGangHoldsRoom = true;
         }
-        for (Run run : members) {
-            releaseRoom(pass, run);
-            addRun(pass, run);
-        }
+        return members;
     }
 
     private static void reserveRoom(Pass pass, Run run) {
