Count stored bounds from the resignation only where the leader had fenced others

Found by review: a task could run twice for up to some seconds. A leader that stopped before its first append had not fenced the one before it, which may have stored lease bounds after that. They were counted from the time at which the stopped leader had stopped, so too early. The same where the store carries out the candidacy of an earlier incarnation late, while another leader leads.

The time counts only if a progress record of the stopped leader was seen, or its own record of earlier renewals is found; otherwise the time of the fencing record counts.

LeaseBoundTest.recordsBeforeALeaderThatNeverFenced... failed before (two runs at once, at four of four intervals) and passes; theRenewalsThatAnotherLeaderKnewOfAreNotUsed guards the epoch of that record.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaseBoundTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaseBoundTest.java
@@ -10,6 +10,8 @@
 import org.hornbeamward.dispatch.port.Topic;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Workers that are silent while leaders change. */
 class LeaseBoundTest {
@@ -140,6 +142,42 @@
         assertEquals(recordCount, mFixture.mStore.records(Topic.PROGRESS).size());
     }
 
+    /** Guards against bounds of a leader that led on after one that stopped before it led. */
+    @ParameterizedTest
+    @ValueSource(longs = {1_400, 1_500, 1_600, 1_800})
+    void recordsBeforeALeaderThatNeverFencedCountFromTheFencing(long ledOnMillis) {
+        Dispatcher first = mFixture.startDispatcher(1);
+        FakeWorker cutOff = startJob();
+        cutOff.unreachable = true;
+        mFixture.mLoop.advance(2_300);
+        long stoppedMillis = mFixture.mLoop.nowMillis();
+        mFixture.mLoop.advance(ledOnMillis);
+        first.close();
+        mFixture.startDispatcher(
+                3, new FormerLeader.Stopped(2, stoppedMillis, FormerLeader.Stopped.NEVER_SEEN));
+        advanceAndExpectOneRun(cutOff, 12_000);
+        assertEquals(2, mFixture.startedCount());
+    }
+
+    /** Guards against renewals that only a leader of another epoch knew to have ended. */
+    @Test
+    void theRenewalsThatAnotherLeaderKnewOfAreNotUsed() {
+        Dispatcher first = mFixture.startDispatcher(1);
+        FakeWorker gone = startJob();
+        gone.unreachable = true;
+        mFixture.mLoop.advance(100);
+        first.close();
+        mFixture.startDispatcher(
+                3,
+                new FormerLeader.Stopped(
+                        2, mFixture.mLoop.nowMillis(), FormerLeader.Stopped.NEVER_SEEN));
+        // 2.5 s of renewals by the first leader, which the second has not fenced.
+        mFixture.mLoop.advance(8_000);
+        assertEquals(1, mFixture.startedCount());
+        mFixture.mLoop.advance(1_500);
+        assertEquals(2, mFixture.startedCount());
+    }
+
     /** Ends a leader after 0.3 s and starts another one that knows that it has stopped. */
     private Dispatcher stopAndReplace(Dispatcher leader, int epoch) {
         mFixture.mLoop.advance(300);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -235,8 +235,9 @@
         switch (mFormerLeader) {
             case FormerLeader.Unknown unknown -> {}
             case FormerLeader.Stopped stopped -> {
-                mEarlierRecordsEndMillis = stopped.stoppedMillis();
+                // A leader of which no record is known may not have fenced the one before it.
                 if (stopped.firstSeenMillis() < now) {
+                    mEarlierRecordsEndMillis = stopped.stoppedMillis();
                     mEarlierGrantsEndMillis =
                             Math.max(
                                     stopped.stoppedMillis(),
@@ -486,6 +487,8 @@
         try {
             EarlierGrants grants = EarlierGrants.decode(value);
             if (grants.epoch() == stopped.epoch()) {
+                // The record shows that the former leader has fenced the ones before it.
+                mEarlierRecordsEndMillis = stopped.stoppedMillis();
                 mEarlierGrantsEndMillis =
                         Math.min(
                                 mEarlierGrantsEndMillis,
