Count the confirmation by a repeated append from its first attempt

Found by review: a successor may start a task before its lease has lapsed. It takes every confirmation of the former leader for a record. An append that took effect without an answer is repeated with its sequence, and the answer confirmed the leader at the time of the repetition, 0.9 s later and without a record.

FencedWriterTest failed before and passes.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/FencedWriter.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/store/FencedWriter.java
@@ -9,6 +9,7 @@
 import org.hornbeamward.dispatch.port.Store.Condition;
 import org.hornbeamward.dispatch.port.Topic;
 import org.hornbeamward.event.LogEvent;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Appends to a topic as the only writer of an epoch, one append at a time. An append without an
@@ -48,6 +49,12 @@
     private ClockReading mConfirmed;
     private long mEndOffset = -1;
 
+    /**
+     * Time at which the append in progress was first sent without getting an answer; null for none.
+     * A repeated append may have taken effect then, so that a confirmation counts from then.
+     */
+    private @Nullable ClockReading mUnanswered;
+
     /**
      * Creates a writer.
      *
@@ -145,7 +152,7 @@
         if (!mActive) {
             return;
         }
-        ClockReading sent = ClockReading.now(mLoop);
+        ClockReading sent = mUnanswered == null ? ClockReading.now(mLoop) : mUnanswered;
         mStore.append(
                         mTopic,
                         records,
@@ -183,7 +190,10 @@
                 }
             }
             case AppendOutcome.Refused refused -> retry(refused.reason(), records, committed);
-            case AppendOutcome.Unknown unknown -> retry(unknown.reason(), records, committed);
+            case AppendOutcome.Unknown unknown -> {
+                mUnanswered = sent;
+                retry(unknown.reason(), records, committed);
+            }
         }
     }
 
@@ -192,6 +202,7 @@
             mAvailable = true;
             LogEvent.LOG_AVAILABLE.log(mSequence);
         }
+        mUnanswered = null;
         mRetryDelayMillis = FIRST_RETRY_DELAY_MILLIS;
         if (!records.isEmpty()) {
             mSequence++;
