Ask before any restart of a task that lasts, and stop asking

Found by review: the limit of 1.5 s for asking a worker never ended while commits took over 0.1 s, so a lost task did not start for 20 s on a store with appends of 0.15 or 0.4 s. The same pass looked at the task again, found no room, since it is kept for this very task, and began the time anew.

A task whose worker is asked is left out of the rest of the pass, an answer since it was asked counts as contact, and every restart of a task that lasts asks.

InterruptedTaskTest.aLostTaskStartsOnAnIdleWorkerAlsoWhileTheStoreIsSlow failed before (2 of 3 response times) and passes; LostTaskTest.aTaskThatIsAwayForAMoment... failed before (7 of 7) and passes.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
@@ -38,6 +38,9 @@
     /** Response time for a page of the newest records. */
     public long newestMillis = ANSWER_MILLIS;
 
+    /** Response time for an append whose answer is not lost. */
+    public long appendMillis = ANSWER_MILLIS;
+
     /** Time until a read looks for records. */
     public long readMillis = ANSWER_MILLIS;
 
@@ -93,7 +96,7 @@
             loseAnswerCount--;
             return completeLater(timeoutMillis, new AppendOutcome.Unknown("answer lost"));
         }
-        return completeLater(ANSWER_MILLIS, outcome);
+        return completeLater(appendMillis, outcome);
     }
 
     private AppendOutcome apply(Topic topic, List<KeyedRecord> records, Condition condition) {
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/InterruptedTaskTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/InterruptedTaskTest.java
@@ -8,6 +8,8 @@
 import org.hornbeamward.lib.JobId;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Long-running tasks that are away while there is room for them. */
 class InterruptedTaskTest {
@@ -115,4 +117,23 @@
                 half.started.contains(taskOf(small)),
                 "the smaller task has not started again beside 2,000 free millicores");
     }
+
+    /** Guards against a slow store that makes a leader ask a worker for ever. */
+    @ParameterizedTest
+    @ValueSource(longs = {8, 150, 400})
+    void aLostTaskStartsOnAnIdleWorkerAlsoWhileTheStoreIsSlow(long appendMillis) {
+        mFixture.startDispatcher(1);
+        JobId lasting = submitLasting("lasting", 3_500);
+        addWorker("w3", 2_000).taskMillis = 300;
+        worker("w1").refusesConnections = true;
+        mFixture.mLoop.advance(7_300);
+        mFixture.mStore.appendMillis = appendMillis;
+        FakeWorker idle = mFixture.mWorkers.add("w4", 3_500);
+        mFixture.registerWorker("w4");
+        for (long passedMillis = 0; passedMillis < 2_500; passedMillis += 50) {
+            mFixture.submit("small" + passedMillis, LeaderFixture.step(1, 100));
+            mFixture.mLoop.advance(50);
+        }
+        assertTrue(idle.started.contains(taskOf(lasting)), "started " + idle.started);
+    }
 }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LostTaskTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LostTaskTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import org.hornbeamward.dispatch.fake.FakeWorker;
 import org.hornbeamward.dispatch.job.TaskName;
@@ -12,6 +14,8 @@
 import org.hornbeamward.dispatch.port.Topic;
 import org.hornbeamward.lib.JobId;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tasks that last and stay away although there is room for them twice (rule LOST). */
 class LostTaskTest {
@@ -85,4 +89,19 @@
                         new Event(16_058, Kind.GONE_SILENTLY, 5, 0));
         assertEquals(List.of(), RandomFaults.runLoss(1_473, schedule));
     }
+
+    /** Guards against the same where the task is away for less than the 3 s until it goes first. */
+    @ParameterizedTest
+    @ValueSource(longs = {-300, -200, -100, 0, 100, 200, 300})
+    void aTaskThatIsAwayForAMomentIsNotOrderedOnAWorkerThatWasLostUnnoticed(long laterMillis) {
+        List<Event> schedule =
+                new ArrayList<>(
+                        List.of(
+                                new Event(946, Kind.SUBMIT_LASTING, 17, 0),
+                                new Event(1_464, Kind.SUBMIT_LASTING, 18, 0),
+                                new Event(15_860, Kind.DOWN, 4, 1_900),
+                                new Event(15_860 + laterMillis, Kind.GONE_SILENTLY, 5, 0)));
+        schedule.sort(Comparator.comparingLong(Event::atMillis));
+        assertEquals(List.of(), RandomFaults.runLoss(1_473, schedule));
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Scheduler.java
@@ -108,7 +108,7 @@
         private final List<WorkerSession> mUsableWorkers = new ArrayList<>();
         private @Nullable List<WorkerCandidate> mUsableCandidates;
         private final List<Run> mRuns = new ArrayList<>();
-        private final Set<Task> mPlaced = new HashSet<>();
+        private final Set<Task> mDecided = new HashSet<>();
 
         /** What the tasks take that the pass has placed, by account. */
         private final AccountUsage mPlannedUsage = new AccountUsage();
@@ -126,9 +126,12 @@
             mNowMillis = nowMillis;
         }
 
-        /** Returns whether the pass has placed a task, whose run is not attached yet. */
-        private boolean isPlaced(Task task) {
-            return mPlaced.contains(task);
+        /**
+         * Returns whether the pass has placed a task, whose run is not attached yet, or keeps the
+         * room of a worker for it that is asked first.
+         */
+        private boolean isDecided(Task task) {
+            return mDecided.contains(task);
         }
 
         private WorkerCandidate candidate(WorkerSession worker) {
@@ -443,7 +446,7 @@
         }
         for (Task task : step.tasks) {
             if (task.interrupted(nowMillis)
-                    && !pass.isPlaced(task)
+                    && !pass.isDecided(task)
                     && task.notBeforeMillis <= nowMillis) {
                 keepRoomFree(pass, task);
             }
@@ -471,7 +474,7 @@
 
     private void placeTasks(Pass pass, Step step, Predicate<Task> filter, long nowMillis) {
         for (Task task : step.tasks) {
-            if (filter.test(task) && !pass.isPlaced(task) && task.notBeforeMillis <= nowMillis) {
+            if (filter.test(task) && !pass.isDecided(task) && task.notBeforeMillis <= nowMillis) {
                 task.waitingSinceMillis = Math.min(task.waitingSinceMillis, nowMillis);
                 Run run =
                         placeTask(
@@ -496,6 +499,7 @@
                     task.askedSinceMillis = Math.min(task.askedSinceMillis, nowMillis);
                     run.worker.ask();
                     pass.candidate(run.worker).keepFree(step.spec);
+                    pass.mDecided.add(task);
                 } else {
                     task.askedSinceMillis = Long.MAX_VALUE;
                     addRun(pass, run);
@@ -505,14 +509,15 @@
     }
 
     /**
-     * Returns whether an interrupted task has to wait for an answer of its worker. An order without
-     * an answer would keep the task away until all leases must have lapsed there.
+     * Returns whether a task that lasts and has been started before has to wait for an answer of
+     * its worker. An order without an answer would keep the task away until all leases must have
+     * lapsed there.
      */
     private static boolean mustAsk(Run run, long nowMillis) {
         Task task = run.task;
         return task.step.spec.longRunning()
-                && task.interrupted(nowMillis)
-                && !run.worker.isInContact()
+                && task.lastAttempt > 0
+                && !run.worker.isInContact(task.askedSinceMillis)
                 && nowMillis - Math.min(nowMillis, task.askedSinceMillis) < MAX_ASK_MILLIS;
     }
 
@@ -679,7 +684,7 @@
 
     private void addRun(Pass pass, Run run) {
         pass.mRuns.add(run);
-        pass.mPlaced.add(run.task);
+        pass.mDecided.add(run.task);
         reserveRoom(pass, run);
         run.task.step.job.placed = true;
     }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -734,11 +734,13 @@
     }
 
     /**
-     * Returns whether the worker has answered a moment ago, or a poll is in flight that would show
-     * that it is gone.
+     * Returns whether the worker has answered a moment ago or since a time, or a poll is in flight
+     * that would show that it is gone.
+     *
+     * @param sinceMillis monotonic time
      */
-    boolean isInContact() {
-        return hasJustAnswered() || (mPollInFlight && !mAsked);
+    boolean isInContact(long sinceMillis) {
+        return hasJustAnswered() || mAnsweredMillis >= sinceMillis || (mPollInFlight && !mAsked);
     }
 
     /** Polls a worker that is not in contact; a placement pass follows on the answer. */
