Poll a worker at once while its stored lease bound is being removed

Found by review, by reading: a worker that answers its first poll after 0.2 s has a stored lease bound. The next poll renewed nothing and waited for up to a second, so that on a slow leader the leases of many workers came near their end. It does not wait now, and is repeated after 0.15 s until the bound is removed. No test shows the case; the dispatch tests pass.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -773,9 +773,10 @@
         mOfferedLeaseClockMillis = deadlineClockMillis == null ? 0 : deadlineClockMillis;
         boolean unresolved = mRuns.values().stream().anyMatch(this::isUnresolved);
         boolean shared = mUsage.longRunningCpuMillicores() > 0 && mUsage.fillerCpuMillicores() > 0;
-        // A silent worker answers at once, so that its leases are renewed again soon.
+        // A silent worker, or one whose lease bound is stored, answers at once, so that its leases
+        // are renewed again soon.
         long waitMillis =
-                unresolved || silent() || mRuns.isEmpty()
+                unresolved || silent() || mRuns.isEmpty() || mLeaseBoundStored
                         ? 0
                         : shared ? SHARED_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
         long acknowledged = isAcknowledgementDue() ? mStoredEndNumber : 0;
@@ -869,6 +870,7 @@
                 runsChanged();
                 mSupervisor.polled(this);
                 if (mRuns.values().stream().anyMatch(this::isUnresolved)
+                        || mLeaseBoundStored
                         || isAcknowledgementWithheld()) {
                     mLoop.schedule(POLL_RETRY_MILLIS, this::poll);
                 } else {
