--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -562,6 +562,7 @@
         if (run.task.run == run) {
             mAccounts.detached(run);
             run.task.run = null;
+            // A later start that was not carried out does not begin the time away anew.
             if (run.wasAtWork() || run.attempt == 1) {
                 run.task.awaySinceMillis = run.worker.lastContactMillis();
             }
