--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -60,6 +60,9 @@
     /** Whether connections to the worker fail, so that calls are certainly not carried out. */
     public boolean refusesConnections;
 
+    /** Whether start orders are refused as by an unhealthy worker; other calls are answered. */
+    public boolean refusesStarts;
+
     /** Whether another worker answers at the address of this one. */
     public boolean addressTaken;
 
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
@@ -116,6 +116,12 @@
     private CompletableFuture<OrderOutcome> send(
             WorkerEntry entry, StartOrder order, long timeoutMillis) {
         FakeWorker worker = get(entry.id().value());
+        if (worker.refusesStarts) {
+            CompletableFuture<OrderOutcome> answer = new CompletableFuture<>();
+            mLoop.schedule(
+                    ANSWER_MILLIS, () -> answer.complete(new OrderOutcome.NotDone("unhealthy")));
+            return answer;
+        }
         if (worker.startDelayMillis > 0) {
             mLoop.schedule(worker.startDelayMillis, () -> worker.start(order));
             CompletableFuture<OrderOutcome> answer = new CompletableFuture<>();
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/AwayTasksTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/AwayTasksTest.java
@@ -155,6 +155,32 @@
         assertEquals(totalMillis, givenUpMillis + waitedMillis + failedMillis + startMillis);
     }
 
+    @Test
+    void aRefusedStartIsReportedWithItsReasonAndTheTaskStaysUrgent() {
+        mFixture.startDispatcher(1);
+        FakeWorker gone = startJob(LeaderFixture.longRunning(1, 1_000));
+        FakeWorker refusing = otherWorker(gone);
+        gone.refusesConnections = true;
+        refusing.refusesStarts = true;
+        mFixture.mLoop.advance(7_000);
+        String away = lastLine(LogEvent.TASKS_AWAY);
+        assertContains("waits for a worker; room on 0 of 0 usable workers", away);
+        assertContains("starts that failed: 1, the last one: not started", away);
+        refusing.refusesStarts = false;
+        mFixture.mLoop.advance(1_000);
+        assertEquals(2, mFixture.startedCount());
+        String returned = lastLine(LogEvent.TASK_RETURNED);
+        assertContains("in 2 starts that did not succeed, the last one: not started", returned);
+        long totalMillis = number("time away of (\\d+) ms", returned);
+        long givenUpMillis = number("(\\d+) ms until", returned);
+        long waitedMillis = number("(\\d+) ms waiting", returned);
+        long failedMillis = number("(\\d+) ms in 2 starts", returned);
+        long startMillis = number("and (\\d+) ms in the start", returned);
+        // A worker that refused a start gets no tasks for a second.
+        assertTrue(waitedMillis > 1_900 && waitedMillis < 2_400, returned);
+        assertEquals(totalMillis, givenUpMillis + waitedMillis + failedMillis + startMillis);
+    }
+
     /** A worker that nothing shows to be up is asked before a lost task starts there. */
     @Test
     void aTaskThatWaitsForTheAnswerOfAWorkerIsReportedAsSuch() {
