--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -86,6 +86,9 @@
      */
     public long stopMillis;
 
+    /** Number of stop orders to come that are confirmed but not carried out. */
+    public int ignoredStopCount;
+
     /** Duration of each run. */
     public long taskMillis = 500;
 
@@ -277,6 +280,10 @@
             return new OrderOutcome.Rejected(Rejection.FENCED, clockMillis());
         }
         mHighestToken = token;
+        if (ignoredStopCount > 0) {
+            ignoredStopCount--;
+            return new OrderOutcome.Done(clockMillis());
+        }
         Integer running = mRunning.get(task);
         if (running != null && running == attempt && stopMillis == 0) {
             end(task, EndKind.STOPPED);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -117,6 +117,7 @@
     private final NodeMetrics mMetrics;
     private final CallMonitor mCallMonitor;
     private final PlacementMonitor mPlacementMonitor;
+    private final StopMonitor mStopMonitor;
     private final long mEpoch;
     private final FormerLeader mFormerLeader;
     private final FencedWriter.DeposedListener mDeposedListener;
@@ -196,6 +197,7 @@
         mMetrics = metrics;
         mCallMonitor = new CallMonitor(loop, metrics);
         mPlacementMonitor = new PlacementMonitor(loop, metrics);
+        mStopMonitor = new StopMonitor(loop, metrics);
         mEpoch = epoch;
         mFormerLeader = formerLeader;
         mDeposedListener = deposedListener;
@@ -289,6 +291,7 @@
         mProgressFollower.stop();
         mWorkers.close();
         mAwayTasks.close();
+        mStopMonitor.close();
     }
 
     /**
@@ -593,6 +596,7 @@
         }
         removeEndedJobs();
         mPlacementMonitor.logIfDue(mOrders.size());
+        mStopMonitor.logIfDue(mWorkers.all());
         checkAwayTasks();
         // A successor relies on it that nothing is recorded once the leader has resigned.
         if (!mSuspended
@@ -952,6 +956,7 @@
     public void runGone(Run run, String reason) {
         LogEvent.RUN_GONE.log(run, reason);
         mAwayTasks.runGone(run, reason);
+        mStopMonitor.runGone(run);
         detach(run);
         requestPass();
     }
@@ -981,6 +986,7 @@
                 mSlowRunDetector.runDone(run);
             }
             mAwayTasks.runEnded(run, end.kind());
+            mStopMonitor.runGone(run);
             detach(run);
         }
         if (!task.done) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
@@ -56,6 +56,8 @@
     private final Counter mAccountLimits;
     private final Histogram mTimeAway;
     private final Gauge mTasksAway;
+    private final Histogram mStops;
+    private final Gauge mStopsOverdue;
 
     /** Creates the metrics, all at zero. */
     public NodeMetrics() {
@@ -119,6 +121,17 @@
                         .name("hornbeamward_tasks_away")
                         .help("long-running tasks that have been away for over 3 s; at the leader")
                         .register(mRegistry);
+        mStops =
+                histogram(
+                        "hornbeamward_stop_seconds",
+                        "time from when a run had to be stopped until it was gone");
+        mStopsOverdue =
+                Gauge.builder()
+                        .name("hornbeamward_stops_overdue")
+                        .help(
+                                "runs that are still there over 1 s after they had to be stopped;"
+                                        + " at the leader")
+                        .register(mRegistry);
     }
 
     private Counter counter(String name, String help) {
@@ -222,6 +235,24 @@
         mTasksAway.set(taskCount);
     }
 
+    /**
+     * Records how long it took to stop a run.
+     *
+     * @param millis time from when it had to be stopped until it was gone
+     */
+    public void recordStop(long millis) {
+        mStops.observe(millis / MILLIS_PER_SECOND);
+    }
+
+    /**
+     * Sets the number of runs that should have been stopped and are still there.
+     *
+     * @param runCount number of runs; 0 at an entry that does not lead
+     */
+    public void setStopsOverdue(int runCount) {
+        mStopsOverdue.set(runCount);
+    }
+
     /**
      * Counts the answer to a start order.
      *
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -66,6 +66,15 @@
     /** Whether the run has to be stopped. */
     public boolean stopping;
 
+    /** Monotonic time since which the run has had to be stopped; {@link #NEVER} if it has not. */
+    public long stoppingSinceMillis = NEVER;
+
+    /** Number of stop orders that were sent. */
+    public int stopOrderCount;
+
+    /** Outcome of the last stop order. */
+    public String stopOutcome = "not answered yet";
+
     /** Monotonic time at which the last stop order was sent; {@link #NEVER} if none was. */
     public long stopSentMillis = NEVER;
 
@@ -166,6 +175,7 @@
         run.state =
                 state == State.ORDERED || state == State.UNKNOWN ? State.UNKNOWN : State.INHERITED;
         run.stopping = stopping || run.state == State.UNKNOWN;
+        run.stoppingSinceMillis = stoppingSinceMillis;
         run.resumed = resumed;
         run.pacePercent = pacePercent;
         run.paceUncertain = true;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -590,6 +590,9 @@
      */
     void stop(Run run) {
         run.stopping = true;
+        if (run.stoppingSinceMillis == Run.NEVER) {
+            run.stoppingSinceMillis = mLoop.nowMillis();
+        }
         if (run.stopInFlight
                 || run.state == Run.State.DECIDED
                 || run.stopConfirmedMillis != Long.MAX_VALUE) {
@@ -598,6 +601,7 @@
         run.stopInFlight = true;
         long sentMillis = mLoop.nowMillis();
         run.stopSentMillis = sentMillis;
+        run.stopOrderCount++;
         guarded(
                         () ->
                                 mControl.stop(
@@ -613,6 +617,7 @@
 
     private void stopAnswered(Run run, OrderOutcome outcome, long sentMillis) {
         run.stopInFlight = false;
+        run.stopOutcome = outcome.toString();
         if (mClosed || mRuns.get(run.task.name) != run) {
             return;
         }
@@ -927,6 +932,7 @@
             run.reportedLoad = report.load();
             run.task.checkpoint.offer(report.checkpoint(), report.attempt(), report.percent());
             markPresent(run);
+            noteStopWithoutEffect(run, sentMillis);
         }
         for (EndReport end : seen.ended()) {
             if (end.number() > mSeenEndNumber) {
@@ -946,6 +952,12 @@
         gone.forEach(run -> mSupervisor.runGone(run, "the worker does not list it"));
     }
 
+    private void noteStopWithoutEffect(Run run, long sentMillis) {
+        if (hasStopped(run, sentMillis)) {
+            LogEvent.STOP_WITHOUT_EFFECT.log(run, mLoop.nowMillis() - run.stopConfirmedMillis);
+        }
+    }
+
     /** Returns whether a run that a poll did not list can no longer appear on the worker. */
     private boolean isGone(Run run, long sentMillis) {
         return switch (run.state) {
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -161,6 +161,20 @@
             Level.INFO,
             "{} more long-running tasks run again without a line of their own; longest time away {}"
                     + " ms"),
+    /** A worker lists a run although it has confirmed the order to stop it. */
+    STOP_WITHOUT_EFFECT(
+            536,
+            Level.WARN,
+            "run {} is listed {} ms after the worker confirmed the order to stop it"),
+    /** Runs are still there although they should have been stopped. */
+    STOPS_OVERDUE(
+            542,
+            Level.WARN,
+            "{} runs are still there over a second after they had to be stopped, {} of them on"
+                    + " workers that answer polls; run {} longest, {} ms; {} stop orders were sent"
+                    + " for it, the last one: {}"),
+    /** Many connections to one server are open. */
+    CONNECTIONS_MANY(543, Level.WARN, "{} connections to {} are open, {} of them idle"),
     /** Tasks of one kind are ready to start and find no worker. */
     TASKS_WAITING(
             526,
