Send a stop order again while its run is listed

What callers would see: a task of a cancelled job runs on for good after one stop order that its worker confirmed and did not carry out. Any confirmation, and any rejection but the fence, ended the leader's interest in the order; polls went on listing the run and renewing its lease.

A poll that was sent after the time for the stop and lists the run now has the order sent again.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -586,7 +586,7 @@
 
     /**
      * Marks a run for stopping and sends the stop order, which {@link #repeatOrders} repeats until
-     * it is answered.
+     * it is answered, and a poll answer that lists the run repeats after that.
      */
     void stop(Run run) {
         run.stopping = true;
@@ -932,7 +932,7 @@
             run.reportedLoad = report.load();
             run.task.checkpoint.offer(report.checkpoint(), report.attempt(), report.percent());
             markPresent(run);
-            noteStopWithoutEffect(run, sentMillis);
+            repeatStopWithoutEffect(run, sentMillis);
         }
         for (EndReport end : seen.ended()) {
             if (end.number() > mSeenEndNumber) {
@@ -952,9 +952,15 @@
         gone.forEach(run -> mSupervisor.runGone(run, "the worker does not list it"));
     }
 
-    private void noteStopWithoutEffect(Run run, long sentMillis) {
+    /**
+     * Sends a stop order again that the worker has confirmed, if a poll that was sent after the
+     * time for it lists the run.
+     */
+    private void repeatStopWithoutEffect(Run run, long sentMillis) {
         if (hasStopped(run, sentMillis)) {
             LogEvent.STOP_WITHOUT_EFFECT.log(run, mLoop.nowMillis() - run.stopConfirmedMillis);
+            run.stopConfirmedMillis = Long.MAX_VALUE;
+            stop(run);
         }
     }
 
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -165,7 +165,8 @@
     STOP_WITHOUT_EFFECT(
             536,
             Level.WARN,
-            "run {} is listed {} ms after the worker confirmed the order to stop it"),
+            "run {} is listed {} ms after the worker confirmed the order to stop it; it is sent"
+                    + " again"),
     /** Runs are still there although they should have been stopped. */
     STOPS_OVERDUE(
             542,
