Answer every request that a stopping process has read before it exits

It waited for a moment without requests in progress, which callers that go on do not leave, and it never closed a connection. A submission that was waiting for the store was cut off in the same way.

From the SIGTERM on each response says that the connection ends. Once the load balancer has removed the instance and the lead is handed over, the process closes its port and the connections without a request, the others after their response, and exits when none is left. Requests that still wait for the store 1.6 s before the end of the grace period are answered: 504 if their record may be stored, else 503 with Retry-After. The new event HW108 reports requests that are open at the exit. A draining HTTP server also answers requests that it has read behind another one; it dropped them.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/JobsWriterTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/JobsWriterTest.java
@@ -93,4 +93,36 @@
         assertInstanceOf(JobsWriter.Outcome.Unknown.class, repeated.join());
         assertInstanceOf(JobsWriter.Outcome.NotStored.class, other.join());
     }
+
+    /** Guards against callers without an answer, or with a wrong one, when a process ends. */
+    @Test
+    void whenTheProcessEndsOnlyWhatMayBeStoredHasAnUnknownOutcome() {
+        mStore.loseAnswerCount = 100;
+        CompletableFuture<JobsWriter.Outcome> sent = store("j/1");
+        CompletableFuture<JobsWriter.Outcome> unsent = store("j/2");
+
+        mWriter.stop();
+
+        assertInstanceOf(JobsWriter.Outcome.Unknown.class, sent.join());
+        assertInstanceOf(JobsWriter.Outcome.NotStored.class, unsent.join());
+        assertInstanceOf(JobsWriter.Outcome.Unknown.class, store("j/1").join());
+        assertInstanceOf(JobsWriter.Outcome.NotStored.class, store("j/3").join());
+        mLoop.advance(3_000);
+        assertEquals(1, mStore.appendCount);
+    }
+
+    /** Guards against a "not stored" for a record whose first append may yet take effect. */
+    @Test
+    void aRecordThatWaitsForARepeatedAppendMayBeStoredWhenTheProcessEnds() {
+        mStore.loseAnswerCount = 100;
+        CompletableFuture<JobsWriter.Outcome> repeated = store("j/1");
+        mLoop.advance(520);
+        assertEquals(1, mStore.appendCount);
+
+        mWriter.stop();
+
+        assertInstanceOf(JobsWriter.Outcome.Unknown.class, repeated.join());
+        mLoop.advance(3_000);
+        assertEquals(1, mStore.appendCount);
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -290,6 +290,15 @@
         return handedOver;
     }
 
+    /**
+     * Answers all submissions and cancellations that wait for the store, and from now on each new
+     * one at once: with an unknown outcome if its record may be stored, else as not stored. To be
+     * called when the process ends before the store has answered.
+     */
+    public void endAppends() {
+        mJobsWriter.stop();
+    }
+
     private void handOver(CompletableFuture<Void> handedOver) {
         Dispatcher dispatcher = mDispatcher;
         if (dispatcher == null) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/JobsWriter.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/JobsWriter.java
@@ -38,6 +38,8 @@
      */
     private static final long LATE_APPEND_MILLIS = 15_000;
 
+    private static final String STOPPED_REASON = "the process is ending";
+
     /** Outcome of storing a record. */
     sealed interface Outcome {
         /** The record is stored. */
@@ -85,6 +87,7 @@
     private final Map<String, Long> mUnansweredUntilMillis = new LinkedHashMap<>();
 
     private boolean mBusy;
+    private boolean mStopped;
     private boolean mAvailable = true;
 
     JobsWriter(Loop loop, Store store) {
@@ -105,6 +108,9 @@
      * @return whether the record is stored
      */
     CompletableFuture<Outcome> store(KeyedRecord record, long deadlineMillis) {
+        if (mStopped) {
+            return CompletableFuture.completedFuture(notStored(record, STOPPED_REASON));
+        }
         PendingRecord pending = new PendingRecord(record, mLoop.nowMillis(), deadlineMillis);
         if (!mAvailable && mBusy) {
             return CompletableFuture.completedFuture(
@@ -115,6 +121,24 @@
         return pending.mOutcome;
     }
 
+    /**
+     * Completes all open requests at once and appends nothing more. A record whose append is in
+     * progress, or was without an answer, may be stored; the others are not stored.
+     */
+    void stop() {
+        mStopped = true;
+        long untilMillis = mLoop.nowMillis() + LATE_APPEND_MILLIS;
+        for (PendingRecord pending : mInFlight) {
+            mUnansweredUntilMillis.put(pending.mRecord.key(), untilMillis);
+            pending.mOutcome.complete(
+                    new Outcome.Unknown("the append got no answer before the process ended"));
+        }
+        List<PendingRecord> unsent = List.copyOf(mPending);
+        mPending.clear();
+        unsent.forEach(
+                pending -> pending.mOutcome.complete(notStored(pending.mRecord, STOPPED_REASON)));
+    }
+
     /**
      * Returns whether an earlier append of a record got no answer and may have stored it.
      *
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpServer.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpServer.java
@@ -4,11 +4,13 @@
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.group.ChannelGroup;
@@ -21,12 +23,16 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import io.netty.handler.flow.FlowControlHandler;
+import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
@@ -48,7 +54,7 @@
             new DefaultChannelGroup("http", GlobalEventExecutor.INSTANCE);
     private final AtomicInteger mInFlight = new AtomicInteger();
     private final Channel mListener;
-    private volatile boolean mDraining;
+    private volatile boolean mClosingAfterResponses;
 
     /**
      * Binds a port and starts accepting connections on event loops of its own.
@@ -148,6 +154,7 @@
                                         mConnections.add(channel);
                                         channel.pipeline()
                                                 .addLast(new HttpServerCodec())
+                                                .addLast(new OpenRequests())
                                                 // Keeps back what is decoded while reading is
                                                 // paused. It comes before the aggregator, which
                                                 // rejects large bodies by itself.
@@ -186,12 +193,53 @@
         return mConnections.size();
     }
 
+    /**
+     * Closes each connection after its next response from now on, and tells the client so in the
+     * response. Requests that have been read behind the one that is answered are answered first.
+     * Connections are still accepted.
+     */
+    public void closeAfterResponses() {
+        mClosingAfterResponses = true;
+    }
+
     /** Stops accepting connections and closes each open connection after its next response. */
     public void startDraining() {
-        mDraining = true;
+        closeAfterResponses();
         mListener.close();
     }
 
+    /**
+     * Stops accepting connections, closes those without a request at once and the others after
+     * their next response.
+     *
+     * @return completed once all connections are closed, on any thread
+     */
+    public CompletableFuture<Void> drain() {
+        closeAfterResponses();
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        mListener
+                .close()
+                .addListener(
+                        unused -> {
+                            mConnections.forEach(HttpServer::closeIfIdle);
+                            mConnections
+                                    .newCloseFuture()
+                                    .addListener(closed -> drained.complete(null));
+                        });
+        return drained;
+    }
+
+    private static void closeIfIdle(Channel channel) {
+        channel.eventLoop()
+                .execute(
+                        () -> {
+                            OpenRequests requests = channel.pipeline().get(OpenRequests.class);
+                            if (requests != null) {
+                                requests.closeIfNone(channel);
+                            }
+                        });
+    }
+
     /** Closes all connections at once, and shuts down the event loops if the server owns them. */
     @Override
     public void close() {
@@ -202,6 +250,59 @@
         }
     }
 
+    /**
+     * Counts the requests of a connection whose first line has been read and that have no response
+     * yet, also those that wait behind another one or are rejected by the aggregator. Once the
+     * server closes connections, marks the response to the last of them and closes the connection
+     * behind it.
+     */
+    private final class OpenRequests extends ChannelDuplexHandler {
+        private int mCount;
+        private boolean mLastResponseWritten;
+
+        /** Closes the connection behind what is being sent, unless a request is open then. */
+        void closeIfNone(Channel channel) {
+            if (mCount == 0) {
+                channel.writeAndFlush(Unpooled.EMPTY_BUFFER)
+                        .addListener(
+                                unused -> {
+                                    if (mCount == 0) {
+                                        channel.close();
+                                    }
+                                });
+            }
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            if (mLastResponseWritten) {
+                ReferenceCountUtil.release(message);
+                return;
+            }
+            if (message instanceof HttpRequest) {
+                mCount++;
+            }
+            context.fireChannelRead(message);
+        }
+
+        @Override
+        public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+            if (!(message instanceof HttpResponse response)
+                    || response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                context.write(message, promise);
+                return;
+            }
+            mCount--;
+            if (mClosingAfterResponses && mCount == 0) {
+                mLastResponseWritten = true;
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                context.write(message, promise.unvoid().addListener(ChannelFutureListener.CLOSE));
+            } else {
+                context.write(message, promise);
+            }
+        }
+    }
+
     private final class RequestHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
         private final HttpHandler mHandler;
         private boolean mClosing;
@@ -278,8 +379,7 @@
                 ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
             // The request stays counted until its response is flushed, so that a graceful shutdown
             // does not cut off the response.
-            write(context, reply, keepAlive && !mDraining)
-                    .addListener(unused -> mInFlight.decrementAndGet());
+            write(context, reply, keepAlive).addListener(unused -> mInFlight.decrementAndGet());
         }
 
         private ChannelFuture write(
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -25,6 +25,8 @@
     LOG_DROPPED(106, Level.WARN, "{} log lines were dropped"),
     /** The event loop ran its tasks late. */
     LOOP_DELAYED(107, Level.WARN, "the event loop was up to {} ms late within {} ms"),
+    /** A process ends although requests are open. */
+    REQUESTS_CUT(108, Level.WARN, "{} ends with {} requests open"),
     /** The log cannot be read or written. */
     LOG_UNAVAILABLE(200, Level.WARN, "{}"),
     /** The log can be read or written again. */
