Answer a cancellation that may be stored with 504

A DELETE whose append got no answer was told 503 with Retry-After, as one of which nothing is stored, so a caller could take the job as not cancelled although it ended a moment later; also at the exit of a stopping process. The outcome of such a cancellation is unknown, like that of a submission, and is answered 504 as well.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
@@ -254,6 +254,16 @@
         assertInstanceOf(JobOutcome.Unavailable.class, answer.join());
     }
 
+    /** Guards against a "not stored" for a cancellation that may take effect. */
+    @Test
+    void aCancellationWhoseAnswerIsLostHasAnUnknownOutcome() {
+        mStore.loseAnswerCount = 100;
+        CompletableFuture<JobOutcome> answer =
+                mNode.cancel(QUEUE, "", JOB, mLoop.nowMillis() + 1_000);
+        mLoop.advance(4_000);
+        assertInstanceOf(JobOutcome.Unknown.class, answer.join());
+    }
+
     /** Guards against a job that is cancelled by a caller who names another queue. */
     @Test
     void aJobOfAnotherQueueIsNotCancelled() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -139,13 +139,19 @@
         record NoSuchJob() implements JobOutcome {}
 
         /**
-         * It is not known at present whether the job exists, or the store did not take the
-         * cancellation.
+         * It is not known at present whether the job exists, or the cancellation is not stored.
          *
          * @param reason why
          * @param retryAfterMillis time after which the caller may try again
          */
         record Unavailable(String reason, long retryAfterMillis) implements JobOutcome {}
+
+        /**
+         * The cancellation may be stored.
+         *
+         * @param reason why
+         */
+        record Unknown(String reason) implements JobOutcome {}
     }
 
     private final Loop mLoop;
@@ -579,8 +585,7 @@
                                             new JobOutcome.Unavailable(
                                                     notStored.reason(), RETRY_AFTER_MILLIS);
                                     case JobsWriter.Outcome.Unknown unknown ->
-                                            new JobOutcome.Unavailable(
-                                                    unknown.reason(), RETRY_AFTER_MILLIS);
+                                            new JobOutcome.Unknown(unknown.reason());
                                 });
     }
 
