--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -139,13 +139,19 @@
         record NoSuchJob() implements JobOutcome {}
 
         /**
-         * It is not known at present whether the job exists, or the store did not take the
-         * cancellation.
+         * It is not known at present whether the job exists, or the cancellation is not stored.
          *
          * @param reason why
          * @param retryAfterMillis time after which the caller may try again
          */
         record Unavailable(String reason, long retryAfterMillis) implements JobOutcome {}
+
+        /**
+         * The cancellation may be stored.
+         *
+         * @param reason why
+         */
+        record Unknown(String reason) implements JobOutcome {}
     }
 
     private final Loop mLoop;
@@ -290,6 +296,15 @@
         return handedOver;
     }
 
+    /**
+     * Answers all submissions and cancellations that wait for the store, and from now on each new
+     * one at once: with an unknown outcome if its record may be stored, else as not stored. To be
+     * called when the process ends before the store has answered.
+     */
+    public void endAppends() {
+        mJobsWriter.stop();
+    }
+
     private void handOver(CompletableFuture<Void> handedOver) {
         Dispatcher dispatcher = mDispatcher;
         if (dispatcher == null) {
@@ -570,8 +585,7 @@
                                             new JobOutcome.Unavailable(
                                                     notStored.reason(), RETRY_AFTER_MILLIS);
                                     case JobsWriter.Outcome.Unknown unknown ->
-                                            new JobOutcome.Unavailable(
-                                                    unknown.reason(), RETRY_AFTER_MILLIS);
+                                            new JobOutcome.Unknown(unknown.reason());
                                 });
     }
 
