Store what is known of earlier renewals before a leader has loaded

A leader stores EarlierGrants only with commits after it has loaded. If it stopped before, its successor assumed that the leaders before it had just been fenced: 2.5 s of renewals after its first record, or after the successor's own fencing.

A leader now stores GrantsAtFencing directly after its fencing record is confirmed, unless it is resigning. The record holds what the election tells it of the ones before it, which the leader also relies upon itself, and nothing from records that it has not read. For a former leader that had stopped it names the epoch and the time since then, so that a successor that has loaded follows the records of any number of leaders that have not. Each epoch has a key of its own, grants/EPOCH: a leader writes the record before it has read those of the ones before it, and its successor reads after it has written its own. The first commit after a load removes them.

The tests against claims that are too early passed before, and fail with a record that claims no renewals, with one whose former leader's time left is ignored, and with one that is stored while the leader resigns.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaseBoundTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/LeaseBoundTest.java
@@ -1,10 +1,13 @@
 package org.hornbeamward.dispatch.lead;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashMap;
+import java.util.Map;
 import org.hornbeamward.dispatch.fake.FakeWorker;
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Topic;
@@ -178,6 +181,125 @@
         assertEquals(2, mFixture.startedCount());
     }
 
+    /** Stops a leader and starts another one that has seen its records. */
+    private Dispatcher resignAndReplace(Dispatcher leader, long epoch, long firstSeenMillis) {
+        leader.suspend();
+        leader.close();
+        return mFixture.startDispatcher(
+                epoch,
+                new FormerLeader.Stopped(epoch - 1, mFixture.mLoop.nowMillis(), firstSeenMillis));
+    }
+
+    /** Returns the number of records by leaders that had not loaded that are still stored. */
+    private long fencingRecordCount() {
+        Map<String, KeyedRecord> newest = new HashMap<>();
+        for (KeyedRecord record : mFixture.mStore.records(Topic.PROGRESS)) {
+            newest.put(record.key(), record);
+        }
+        return newest.values().stream()
+                .filter(record -> record.key().startsWith("grants/") && record.value() != null)
+                .count();
+    }
+
+    /**
+     * Guards against leaders that wait for renewals by the ones before their predecessor because
+     * that one stopped before it had loaded, whether or not they have seen its records.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 6})
+    void leadersThatStopBeforeTheyHaveLoadedDoNotProlongTheWaitForRenewals(long leaderCount) {
+        for (boolean seen : new boolean[] {true, false}) {
+            LeaseBoundTest test = new LeaseBoundTest();
+            test.loseWorkerBeforeLeadersThatDoNotLoad(leaderCount, seen);
+        }
+    }
+
+    private void loseWorkerBeforeLeadersThatDoNotLoad(long leaderCount, boolean seen) {
+        Dispatcher leader = mFixture.startDispatcher(1);
+        startJob().unreachable = true;
+        mFixture.mLoop.advance(100);
+        long firstSeenMillis = mFixture.mLoop.nowMillis() - 3_000;
+        mFixture.mStore.newestMillis = 5_000;
+        for (long epoch = 2; epoch < 2 + leaderCount; epoch++) {
+            leader = resignAndReplace(leader, epoch, firstSeenMillis);
+            firstSeenMillis =
+                    seen ? mFixture.mLoop.nowMillis() + 10 : FormerLeader.Stopped.NEVER_SEEN;
+            mFixture.mLoop.advance(300);
+            assertFalse(leader.isReady());
+        }
+        mFixture.mStore.newestMillis = 8;
+        resignAndReplace(leader, 2 + leaderCount, firstSeenMillis);
+        // 6.2 s of lease after the last leader that may have renewed, and 0.2 s for a start.
+        mFixture.mLoop.advance(6_400);
+        assertEquals(2, mFixture.startedCount());
+        assertEquals(0, fencingRecordCount());
+    }
+
+    /**
+     * Guards against two runs: a leader that was fenced just now renews leases for 2.5 s, also if
+     * the ones that follow it stop before they have loaded.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 6})
+    void theRenewalsOfAFencedLeaderAreWaitedForAfterLeadersThatHaveNotLoaded(long leaderCount) {
+        for (boolean seen : new boolean[] {true, false}) {
+            LeaseBoundTest test = new LeaseBoundTest();
+            test.renewLeasesDuringLeadersThatDoNotLoad(leaderCount, seen);
+        }
+    }
+
+    private void renewLeasesDuringLeadersThatDoNotLoad(long leaderCount, boolean seen) {
+        Dispatcher first = mFixture.startDispatcher(1);
+        FakeWorker worker = startJob();
+        first.close();
+        long fencedMillis = mFixture.mLoop.nowMillis();
+        mFixture.mStore.newestMillis = 5_000;
+        Dispatcher leader = mFixture.startDispatcher(2);
+        for (long epoch = 3; epoch <= 2 + leaderCount; epoch++) {
+            long firstSeenMillis =
+                    seen ? mFixture.mLoop.nowMillis() + 10 : FormerLeader.Stopped.NEVER_SEEN;
+            mFixture.mLoop.advance(300);
+            if (epoch == 2 + leaderCount) {
+                // It loads once the first leader has stopped renewing.
+                mFixture.mStore.newestMillis = fencedMillis + 2_500 - mFixture.mLoop.nowMillis();
+            }
+            leader = resignAndReplace(leader, epoch, firstSeenMillis);
+        }
+        while (mFixture.mLoop.nowMillis() < fencedMillis + 2_450) {
+            mFixture.mLoop.advance(50);
+            mFixture.mWorkers.poll(worker.entry(), 1L << 40, 1, 0, 0, 900);
+        }
+        mFixture.mLoop.advance(10);
+        worker.unreachable = true;
+        mFixture.mStore.newestMillis = 8;
+        advanceAndExpectOneRun(worker, 10_000);
+        assertEquals(2, mFixture.startedCount());
+    }
+
+    /** Guards against a record that a successor takes for older than it is. */
+    @Test
+    void aLeaderThatResignsBeforeItHasFencedTheOthersRecordsNothingOfThem() {
+        mFixture.mStore.appendMillis = 300;
+        Dispatcher leader = mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(100);
+        leader.suspend();
+        mFixture.mLoop.advance(500);
+        assertEquals(0, fencingRecordCount());
+    }
+
+    /** Guards against a leader that cannot take over because of a damaged record. */
+    @Test
+    void aRecordOfEarlierRenewalsThatCannotBeReadIsRemoved() {
+        mFixture.mStore.records(Topic.PROGRESS).add(new KeyedRecord("grants/1", new byte[] {1}));
+        mFixture.mStore.records(Topic.PROGRESS).add(new KeyedRecord("grants/x", new byte[] {}));
+        Dispatcher leader =
+                mFixture.startDispatcher(
+                        2, new FormerLeader.Stopped(1, 0, FormerLeader.Stopped.NEVER_SEEN));
+        mFixture.mLoop.advance(500);
+        assertTrue(leader.isReady());
+        assertEquals(0, fencingRecordCount());
+    }
+
     /** Ends a leader after 0.3 s and starts another one that knows that it has stopped. */
     private Dispatcher stopAndReplace(Dispatcher leader, int epoch) {
         mFixture.mLoop.advance(300);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.hornbeamward.codec.Reader;
 import org.hornbeamward.dispatch.config.ClusterConfig;
@@ -155,6 +156,9 @@
     /** Workers whose stored lease bounds belong to no session. */
     private final Set<WorkerId> mObsoleteLeaseBounds = new LinkedHashSet<>();
 
+    /** Keys of stored {@link GrantsAtFencing} that {@link EarlierGrants} replaces. */
+    private final Set<String> mObsoleteGrants = new LinkedHashSet<>();
+
     /** Monotonic time by which earlier leaders had decided on all of their progress records. */
     private long mEarlierRecordsEndMillis = Long.MAX_VALUE;
 
@@ -220,6 +224,7 @@
                 List.of(KEEP_ALIVE_RECORD),
                 () -> {
                     noteEarlierLeaders();
+                    saveGrantsAtFencing();
                     mProgressFollower.start();
                     mJobsFollower.start();
                     mWorkers.start();
@@ -255,6 +260,18 @@
         }
     }
 
+    /** Stores what is known of earlier renewals, in case this leader stops before it has loaded. */
+    private void saveGrantsAtFencing() {
+        // A successor relies on it that nothing is recorded once the leader has resigned.
+        if (!mSuspended) {
+            mObsoleteGrants.add(GrantsAtFencing.key(mEpoch));
+            GrantsAtFencing grants =
+                    GrantsAtFencing.of(
+                            mEpoch, mFormerLeader, mEarlierGrantsEndMillis, mLoop.nowMillis());
+            mWriter.append(List.of(grants.toRecord()), this::requestPass);
+        }
+    }
+
     /**
      * Appends keep-alive records until the regular commits begin. Loading thousands of runs takes
      * seconds, and followers depose a leader that the store has not confirmed recently.
@@ -409,7 +426,7 @@
         int inherited = 0;
         mProgress.remove(KEEP_ALIVE_KEY);
         restoreInterference(mProgress.remove(INTERFERENCE_KEY));
-        restoreEarlierGrants(mProgress.remove(EarlierGrants.KEY));
+        restoreEarlierGrants(StoredGrants.take(mProgress));
         Map<WorkerId, byte[]> leaseBounds = removeLeaseBounds();
         for (Map.Entry<String, byte[]> entry : mProgress.entrySet()) {
             try {
@@ -480,24 +497,20 @@
      * Lowers the bound for renewals by earlier leaders to what the former leader knew of the ones
      * before it, if that one has stopped.
      */
-    private void restoreEarlierGrants(byte @Nullable [] value) {
-        if (value == null || !(mFormerLeader instanceof FormerLeader.Stopped stopped)) {
+    private void restoreEarlierGrants(StoredGrants stored) {
+        mObsoleteGrants.addAll(stored.fencingKeys());
+        if (!(mFormerLeader instanceof FormerLeader.Stopped stopped)) {
             return;
         }
-        try {
-            EarlierGrants grants = EarlierGrants.decode(value);
-            if (grants.epoch() == stopped.epoch()) {
-                // The record shows that the former leader has fenced the ones before it.
-                mEarlierRecordsEndMillis = stopped.stoppedMillis();
-                mEarlierGrantsEndMillis =
-                        Math.min(
-                                mEarlierGrantsEndMillis,
-                                mEarlierRecordsEndMillis + grants.remainingMillis());
-                mWorkers.all()
-                        .forEach(worker -> worker.boundInheritedLeases(mEarlierGrantsEndMillis));
-            }
-        } catch (Reader.MalformedInputException e) {
-            LogEvent.RECORD_SKIPPED.log(e, "the record of earlier renewals cannot be read");
+        OptionalLong remainingMillis = stored.remainingMillis(stopped.epoch());
+        if (remainingMillis.isPresent()) {
+            // The record shows that the former leader has fenced the ones before it.
+            mEarlierRecordsEndMillis = stopped.stoppedMillis();
+            mEarlierGrantsEndMillis =
+                    Math.min(
+                            mEarlierGrantsEndMillis,
+                            mEarlierRecordsEndMillis + remainingMillis.getAsLong());
+            mWorkers.all().forEach(worker -> worker.boundInheritedLeases(mEarlierGrantsEndMillis));
         }
     }
 
@@ -749,6 +762,9 @@
             records.add(new EarlierGrants(mEpoch, remainingMillis).toRecord());
             mEarlierGrantsEndSaved = remainingMillis == 0;
         }
+        // Only with or after the record that replaces them.
+        mObsoleteGrants.forEach(key -> records.add(new KeyedRecord(key, null)));
+        mObsoleteGrants.clear();
     }
 
     private void addProgressRemovals(List<KeyedRecord> records) {
