Log what becomes of a cancellation

A job whose cancellation was acknowledged and that ran on left no trace when the leader had ignored the record or when an entry had answered from its table.

The leader logs HW537 with the queue and the client account of the cancellation and of the job, at most one line a second with the number of those left out. An entry logs HW538 with the time that storing took, and HW539 when a DELETE is answered from the table, with the row and the age of the leader's report. What callers see does not change.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
@@ -29,12 +29,14 @@
 import org.hornbeamward.dispatch.fake.VirtualLoop;
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.dispatch.job.JobSpec;
+import org.hornbeamward.dispatch.lead.CapturedLog;
 import org.hornbeamward.dispatch.lead.DispatchLimits;
 import org.hornbeamward.dispatch.lead.JobKeys;
 import org.hornbeamward.dispatch.port.Documents;
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Topic;
 import org.hornbeamward.dispatch.port.WorkerEntry;
+import org.hornbeamward.event.LogEvent;
 import org.hornbeamward.lib.JobId;
 import org.hornbeamward.lib.Resources;
 import org.junit.jupiter.api.AfterEach;
@@ -271,6 +273,32 @@
         assertTrue(mStore.records(Topic.JOBS).isEmpty());
     }
 
+    /** Guards against an acknowledged cancellation whose way cannot be followed in the log. */
+    @Test
+    void theLogTellsWhetherACancellationWasStored() {
+        try (CapturedLog log = new CapturedLog()) {
+            mNode.cancel(QUEUE, "", JOB, mLoop.nowMillis() + 3_000);
+            mLoop.advance(50);
+            StatusTable.Row row = new StatusTable.Row(JOB, "other", "account", JobPhase.RUNNING);
+            mFeed.mReceiver
+                    .orElseThrow()
+                    .received(new FeedMessage.Phases(false, false, List.of(row)));
+            mLoop.advance(70);
+            mNode.cancel(QUEUE, "", JOB, mLoop.nowMillis() + 3_000);
+
+            List<String> stored = log.lines(LogEvent.CANCELLATION_STORED);
+            assertEquals(1, stored.size());
+            assertTrue(stored.get(0).contains("job " + JOB + " of queue queue stored after "));
+            List<String> answered = log.lines(LogEvent.CANCELLATION_NOT_STORED);
+            assertEquals(1, answered.size());
+            assertTrue(
+                    answered.get(0)
+                            .contains(
+                                    "the job is RUNNING, has queue other and client account"
+                                            + " account; the report of the leader is 120 ms old"));
+        }
+    }
+
     /** Guards against a job that is denied at an entry on which its route was never configured. */
     @Test
     void aJobOfARemovedRouteIsFoundOnceTheLeaderReportsIt() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -548,9 +548,18 @@
         StatusTable.Row row = mStatus.get(job);
         boolean settled =
                 row != null && (!row.isVisibleTo(queue.name(), account) || row.phase().terminal());
-        return settled
-                ? CompletableFuture.completedFuture(lookUp(queue, account, job))
-                : storeCancellation(queue, account, job, deadlineMillis);
+        if (row == null || !settled) {
+            return storeCancellation(queue, account, job, deadlineMillis);
+        }
+        LogEvent.CANCELLATION_NOT_STORED.log(
+                job,
+                queue.name(),
+                account,
+                row.phase(),
+                row.queue(),
+                row.account(),
+                mDispatcher == null ? heartbeatAgeMillis() : 0);
+        return CompletableFuture.completedFuture(lookUp(queue, account, job));
     }
 
     private CompletableFuture<JobOutcome> storeCancellation(
@@ -559,13 +568,19 @@
                 new KeyedRecord(
                         JobKeys.cancellation(job),
                         new Cancellation(queue.name(), account).encode());
+        long arrivedMillis = mLoop.nowMillis();
         return mJobsWriter
                 .store(record, deadlineMillis)
                 .thenApply(
                         outcome ->
                                 switch (outcome) {
-                                    case JobsWriter.Outcome.Stored stored ->
-                                            new JobOutcome.Known(JobPhase.CANCELLED);
+                                    case JobsWriter.Outcome.Stored stored -> {
+                                        LogEvent.CANCELLATION_STORED.log(
+                                                job,
+                                                queue.name(),
+                                                mLoop.nowMillis() - arrivedMillis);
+                                        yield new JobOutcome.Known(JobPhase.CANCELLED);
+                                    }
                                     case JobsWriter.Outcome.NotStored notStored ->
                                             new JobOutcome.Unavailable(
                                                     notStored.reason(), RETRY_AFTER_MILLIS);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
@@ -20,6 +20,8 @@
 
 /** All jobs that the leader knows, with indexes of the active and the changed ones. */
 final class JobTable {
+    private static final long IGNORED_LINE_INTERVAL_MILLIS = 1_000;
+
     private final Map<JobId, Job> mJobs = new LinkedHashMap<>();
     private final Set<Job> mActive = new LinkedHashSet<>();
     private final Map<JobId, KnownCancellation> mCancellations = new HashMap<>();
@@ -27,6 +29,8 @@
     private final Set<JobId> mUnreadable = new HashSet<>();
     private final SharedQueues mSharedQueues = new SharedQueues();
     private @Nullable ClusterConfig mConfig;
+    private long mNextIgnoredLineMillis = Long.MIN_VALUE;
+    private int mIgnoredWithoutLineCount;
 
     /** A cancellation and the monotonic time at which this leader read it. */
     private record KnownCancellation(Cancellation cancellation, long knownSinceMillis) {}
@@ -68,7 +72,7 @@
                                 parsed.cancellation()
                                         ? cancel(
                                                 parsed.job(), Cancellation.decode(value), nowMillis)
-                                        : submit(parsed.job(), value))
+                                        : submit(parsed.job(), value, nowMillis))
                 .getOrElse(
                         () -> {
                             LogEvent.RECORD_SKIPPED.log("key " + key + " names no job");
@@ -76,7 +80,7 @@
                         });
     }
 
-    private @Nullable Job submit(JobId id, byte[] value) {
+    private @Nullable Job submit(JobId id, byte[] value, long nowMillis) {
         if (mJobs.containsKey(id)) {
             return null;
         }
@@ -87,7 +91,7 @@
             mJobs.put(id, job);
             mActive.add(job);
             KnownCancellation known = mCancellations.get(id);
-            if (known != null && known.cancellation().appliesTo(job.submission)) {
+            if (known != null && applies(known.cancellation(), job, nowMillis)) {
                 job.phase = JobPhase.CANCELLED;
                 markChanged(job);
             }
@@ -102,7 +106,7 @@
     private @Nullable Job cancel(JobId id, Cancellation cancellation, long nowMillis) {
         mCancellations.put(id, new KnownCancellation(cancellation, nowMillis));
         Job job = mJobs.get(id);
-        if (job == null || job.terminal() || !cancellation.appliesTo(job.submission)) {
+        if (job == null || job.terminal() || !applies(cancellation, job, nowMillis)) {
             return null;
         }
         job.phase = JobPhase.CANCELLED;
@@ -110,6 +114,27 @@
         return job;
     }
 
+    private boolean applies(Cancellation cancellation, Job job, long nowMillis) {
+        Submission submission = job.submission;
+        if (cancellation.appliesTo(submission)) {
+            return true;
+        }
+        if (nowMillis < mNextIgnoredLineMillis) {
+            mIgnoredWithoutLineCount++;
+            return false;
+        }
+        LogEvent.CANCELLATION_IGNORED.log(
+                submission.job(),
+                cancellation.queue(),
+                cancellation.account(),
+                submission.queue(),
+                submission.account(),
+                mIgnoredWithoutLineCount);
+        mNextIgnoredLineMillis = nowMillis + IGNORED_LINE_INTERVAL_MILLIS;
+        mIgnoredWithoutLineCount = 0;
+        return false;
+    }
+
     @Nullable Job get(JobId id) {
         return mJobs.get(id);
     }
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -161,6 +161,20 @@
             Level.INFO,
             "{} more long-running tasks run again without a line of their own; longest time away {}"
                     + " ms"),
+    /** A cancellation names another queue or client account than the job. */
+    CANCELLATION_IGNORED(
+            537,
+            Level.WARN,
+            "cancellation of job {} is ignored: it names queue {} and client account {}, the job"
+                    + " has queue {} and client account {}; {} more ignored since the last line"),
+    /** A cancellation was stored. */
+    CANCELLATION_STORED(538, Level.INFO, "cancellation of job {} of queue {} stored after {} ms"),
+    /** A cancellation was answered from the table of jobs and not stored. */
+    CANCELLATION_NOT_STORED(
+            539,
+            Level.INFO,
+            "cancellation of job {} of queue {} and client account {} is not stored: the job is {},"
+                    + " has queue {} and client account {}; the report of the leader is {} ms old"),
     /** Tasks of one kind are ready to start and find no worker. */
     TASKS_WAITING(
             526,
