Keep a job cancelled whose progress cannot be read

A caller was told that a job is cancelled, and after a change of leaders its tasks ran again: the new leader had read the cancellation, but decoding the job's progress set the phase of the record first and then failed, so that the cancellation was lost.

ProgressCodec.decode leaves a cancelled job cancelled unless the record has a final phase, also when a later part of the record is malformed.

CancelledJobTest.aCancelledJobWhoseProgressCannotBeReadStaysCancelled failed before (expected CANCELLED, was RUNNING). The other tests of the class guard neighbouring cases (a cancellation stored while the leader loads, one that has left the history, a submission stored again after it) and passed before.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -513,7 +513,6 @@
                     .forEach(mObsoleteProgress::add);
             return 0;
         }
-        boolean cancelled = job.phase == JobPhase.CANCELLED;
         List<ProgressCodec.LiveRun> runs;
         try {
             runs = ProgressCodec.decode(job, value);
@@ -521,10 +520,6 @@
             LogEvent.RECORD_SKIPPED.log(e, "progress of job " + key + " cannot be read");
             return 0;
         }
-        if (cancelled && !job.phase.terminal()) {
-            job.phase = JobPhase.CANCELLED;
-            mJobs.markChanged(job);
-        }
         runs.forEach(this::inherit);
         return runs.size();
     }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
@@ -67,7 +67,8 @@
     }
 
     /**
-     * Decodes a record into a job that has no progress yet.
+     * Decodes a record into a job that has no progress yet. A job whose cancellation is known stays
+     * cancelled unless the record has a final phase, also if the rest of the record is malformed.
      *
      * @param job job whose progress is decoded
      * @param bytes value of its progress record
@@ -81,8 +82,11 @@
         if (format != FORMAT) {
             throw reader.malformed("progress format " + format + " is not known");
         }
-        job.phase = reader.constant(JobPhase.values());
-        job.committedPhase = job.phase;
+        JobPhase committedPhase = reader.constant(JobPhase.values());
+        job.committedPhase = committedPhase;
+        if (job.phase != JobPhase.CANCELLED || committedPhase.terminal()) {
+            job.phase = committedPhase;
+        }
         List<LiveRun> live = new ArrayList<>();
         int count = reader.array();
         job.placed = count > 0;
