Apply a cancellation to the job that was accepted on its route

After a configuration had given a route another queue name, a DELETE at an entry that did not know the job (just started, or between two leaders) was answered 200, and the job ran on: the stored cancellation named the new queue only, and the leader ignored it.

A cancellation now names the host and the path prefix of the request beside the queue. The leader applies it to a job of the same client account that is in the queue or was accepted on that route.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/RemovedRouteTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/RemovedRouteTest.java
@@ -43,8 +43,7 @@
  * lead one after the other on a virtual clock.
  */
 class RemovedRouteTest {
-    private static final QueueConfig QUEUE =
-            new QueueConfig("queue", "host", "/q/", "pool", 0, 2, 2.0, 250, false, false, 0);
+    private static final QueueConfig QUEUE = queue("queue", "/q/");
     private static final JobId JOB = new JobId("0123456789abcdef");
 
     private final VirtualLoop mLoop = new VirtualLoop();
@@ -60,7 +59,11 @@
         public void unfollow() {}
     }
 
-    /** Decodes a version, which is followed by a word if the configuration has the queue. */
+    private static QueueConfig queue(String name, String pathPrefix) {
+        return new QueueConfig(name, "host", pathPrefix, "pool", 0, 2, 2.0, 250, false, false, 0);
+    }
+
+    /** Decodes a version, which is followed by the name of the queue if there is one. */
     private final class FakeDocuments implements Documents {
         @Override
         public Either<String, OperatorDocument> decodeOperatorRecord(String key, byte[] value) {
@@ -69,7 +72,7 @@
                     new OperatorDocument.Config(
                             ClusterConfig.of(
                                     Long.parseLong(words[0]),
-                                    words.length > 1 ? List.of(QUEUE) : List.of(),
+                                    words.length > 1 ? List.of(queue(words[1], "/q/")) : List.of(),
                                     List.of(new PoolConfig("pool", true, false)),
                                     1_000)));
         }
@@ -94,24 +97,27 @@
     }
 
     private EntryNode startLeader(FeedServer feedServer) {
-        EntryNode node =
-                new EntryNode(
-                        mLoop,
-                        mStore,
-                        mWorkers,
-                        new FakeDocuments(),
-                        new DispatchLimits(6_000, 200, 120_000, 1.0, 1_000),
-                        KeyPolicy.UNBOUNDED,
-                        new NoFeed(),
-                        feedServer,
-                        new Random(1),
-                        "entry",
-                        "127.0.0.1:2");
+        EntryNode node = newEntry(feedServer, "entry");
         node.start();
         mLoop.advance(3_000);
         return node;
     }
 
+    private EntryNode newEntry(FeedServer feedServer, String instance) {
+        return new EntryNode(
+                mLoop,
+                mStore,
+                mWorkers,
+                new FakeDocuments(),
+                new DispatchLimits(6_000, 200, 120_000, 1.0, 1_000),
+                KeyPolicy.UNBOUNDED,
+                new NoFeed(),
+                feedServer,
+                new Random(1),
+                instance,
+                "127.0.0.1:2");
+    }
+
     private FeedServer newFeedServer() {
         try {
             return new FeedServer(mGroup, "127.0.0.1", 0);
@@ -212,6 +218,30 @@
         assertEquals(1, mWorkers.get(onFirstWorker ? "w2" : "w1").running().size());
     }
 
+    /** Guards against an acknowledged cancellation that the leader ignores. */
+    @Test
+    void aJobIsCancelledByAnEntryThatDoesNotKnowItAndNamesItsRouteDifferently() {
+        EntryNode leader = startLeader();
+        mWorkers.get("w1").taskMillis = 60_000;
+        mWorkers.get("w2").taskMillis = 60_000;
+        submit(leader, step(true));
+        mLoop.advance(1_000);
+        assertEquals(1, runningCount());
+        write(Topic.OPERATOR, "config", "2 renamed");
+        mLoop.advance(300);
+        EntryNode other = newEntry(newFeedServer(), "other");
+        other.start();
+        mLoop.advance(100);
+
+        QueueConfig renamed = other.config().orElseThrow().route("host", "/q/" + JOB).orElseThrow();
+        CompletableFuture<JobOutcome> answer =
+                other.cancel(renamed, "", JOB, mLoop.nowMillis() + 2_900);
+        mLoop.advance(1_000);
+
+        assertEquals(new JobOutcome.Known(JobPhase.CANCELLED), answer.join());
+        assertEquals(0, runningCount());
+    }
+
     /** Guards against jobs that never start, since the leader reads their records too late. */
     @Test
     void aJobWhoseRecordTheLeaderReadsAfterTheRemovalEnds() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -567,7 +567,8 @@
         KeyedRecord record =
                 new KeyedRecord(
                         JobKeys.cancellation(job),
-                        new Cancellation(queue.name(), account).encode());
+                        new Cancellation(queue.name(), account, queue.host(), queue.pathPrefix())
+                                .encode());
         long arrivedMillis = mLoop.nowMillis();
         return mJobsWriter
                 .store(record, deadlineMillis)
