Find a job by the route on which it was accepted

A DELETE on the host and path of the submission was answered 410, and the job ran on, if the configuration had given that route to another queue while the job's queue existed elsewhere, or if it had added a longer prefix that matches the path. A removed route was looked up only if its queue's name was gone.

RemovedRoutes.find returns the accepted queue whenever the configuration does not lead the path to a queue of that name and prefix. A caller who may not see the job is answered 410 where a route exists, and 404 where none does, as before.

The tests aJobOfARouteThatAnotherQueueHasTakenOverIsCancelled and aJobIsCancelledThoughALongerRouteMatchesItsPathNow of the platform's RemovedRouteTest failed before (GET 410 instead of 200 queued).

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/RemovedRoutes.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/RemovedRoutes.java
@@ -11,8 +11,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Finds the queues of jobs whose routes the configuration in force no longer has. Such a route
- * serves only requests for the jobs that it has. Runs on the loop.
+ * Finds the queues of jobs whose routes the configuration in force no longer has, or gives to other
+ * queues. Such a route serves only requests for the jobs that it has. Runs on the loop.
  */
 public final class RemovedRoutes {
     /** How long a request for an unknown job waits for an update from the leader. */
@@ -66,19 +66,30 @@
     }
 
     /**
-     * Finds the queue of a known job whose route has been removed.
+     * Finds the queue of a known job whose route has been removed or now leads to another queue:
+     * that of another name, or with a longer or a shorter prefix.
      *
      * @param host host name of the request, without port
      * @param pathPrefix path of the request up to the id
      * @param job id of the job
-     * @return the queue; empty if the route is configured, or the job was not accepted on it
+     * @return the queue; empty if the route still leads to it, or the job was not accepted on it
      */
     public Optional<QueueConfig> find(String host, String pathPrefix, JobId job) {
         ClusterConfig config = mConfig.get();
         return config == null
                 ? Optional.empty()
                 : mStatus.acceptedQueue(job, host, pathPrefix)
-                        .filter(queue -> !config.queues().containsKey(queue.name()));
+                        .filter(queue -> !leadsTo(config, host, pathPrefix, job, queue));
+    }
+
+    private static boolean leadsTo(
+            ClusterConfig config, String host, String pathPrefix, JobId job, QueueConfig queue) {
+        return config.route(host, pathPrefix + job)
+                .filter(
+                        routed ->
+                                routed.name().equals(queue.name())
+                                        && routed.pathPrefix().equals(pathPrefix))
+                .isPresent();
     }
 
     /**
