Deny no job before the route of its acceptance has arrived

While the table of a new leader arrived at an entry, a DELETE on a route that had got another queue name was answered 410, and the job ran on: the rows come before the routes on which their jobs were accepted, and the row names another queue than the request.

Until the table is complete, such a DELETE of the same client account is stored for the leader to decide, a GET is answered 503, and the finder of removed routes says that it does not know yet.

EntryNodeTest.aJobIsNotDeniedBeforeTheRouteOfItsAcceptanceIsKnown failed before (NoSuchJob instead of Unavailable).

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/EntryNodeTest.java
@@ -318,6 +318,30 @@
         assertTrue(mNode.removedRoutes().find("host", "/q/", JOB).isEmpty());
     }
 
+    /**
+     * Guards against a job that is denied while the table of a new leader arrives: the rows come
+     * before the routes on which their jobs were accepted.
+     */
+    @Test
+    void aJobIsNotDeniedBeforeTheRouteOfItsAcceptanceIsKnown() {
+        StatusTable.Row row = new StatusTable.Row(JOB, "before", "", JobPhase.RUNNING);
+        mFeed.mReceiver.orElseThrow().received(new FeedMessage.Phases(true, false, List.of(row)));
+
+        assertInstanceOf(JobOutcome.Unavailable.class, phase());
+        CompletableFuture<RemovedRoutes.Lookup> lookup =
+                mNode.removedRoutes().await("host", "/r/", JOB);
+        CompletableFuture<JobOutcome> cancelled =
+                mNode.cancel(QUEUE, "", JOB, mLoop.nowMillis() + 3_000);
+        mLoop.advance(50);
+
+        assertInstanceOf(RemovedRoutes.Lookup.Unavailable.class, lookup.join());
+        assertEquals(new JobOutcome.Known(JobPhase.CANCELLED), cancelled.join());
+        assertEquals(JobKeys.cancellation(JOB), mStore.records(Topic.JOBS).get(0).key());
+        assertInstanceOf(
+                JobOutcome.NoSuchJob.class,
+                mNode.cancel(QUEUE, "other", JOB, mLoop.nowMillis() + 3_000).join());
+    }
+
     /** Guards against an entry that denies a job without knowing which jobs there are. */
     @Test
     void anEntryWithoutTheLeaderDoesNotDenyAJobOfARemovedRoute() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -217,12 +217,7 @@
         mFeed = feed;
         mFeedServer = feedServer;
         mJobsWriter = new JobsWriter(loop, store);
-        mRemovedRoutes =
-                new RemovedRoutes(
-                        loop,
-                        mStatus,
-                        () -> mConfig,
-                        job -> !isStatusFresh() || mLocallyAcceptedJobs.contains(job));
+        mRemovedRoutes = new RemovedRoutes(loop, mStatus, () -> mConfig, this::mayLackRoute);
         mOperatorFollower =
                 new TopicFollower(
                         loop,
@@ -514,11 +509,30 @@
         return answer;
     }
 
+    /** Returns whether a job may exist whose accepted route the table lacks. */
+    private boolean mayLackRoute(JobId job) {
+        return mStatus.get(job) == null
+                ? !isStatusFresh() || mLocallyAcceptedJobs.contains(job)
+                : !mStatusComplete;
+    }
+
+    /**
+     * Returns whether a job of the caller's account in another queue may have been accepted on the
+     * route of the request. The routes arrive after all rows.
+     */
+    private boolean mayBeOfRoute(StatusTable.Row row, String account) {
+        return !mStatusComplete && row.account().equals(account);
+    }
+
     private JobOutcome lookUp(QueueConfig queue, String account, JobId job) {
         StatusTable.Row row = mStatus.get(job);
         if (row != null) {
-            return row.isVisibleTo(queue.name(), account)
-                    ? new JobOutcome.Known(row.phase())
+            if (row.isVisibleTo(queue.name(), account)) {
+                return new JobOutcome.Known(row.phase());
+            }
+            return mayBeOfRoute(row, account)
+                    ? new JobOutcome.Unavailable(
+                            "the leader has not reported all routes yet", RETRY_AFTER_MILLIS)
                     : new JobOutcome.NoSuchJob();
         }
         if (mLocallyAcceptedJobs.contains(job)) {
@@ -547,7 +561,10 @@
             QueueConfig queue, String account, JobId job, long deadlineMillis) {
         StatusTable.Row row = mStatus.get(job);
         boolean settled =
-                row != null && (!row.isVisibleTo(queue.name(), account) || row.phase().terminal());
+                row != null
+                        && (row.isVisibleTo(queue.name(), account)
+                                ? row.phase().terminal()
+                                : !mayBeOfRoute(row, account));
         if (row == null || !settled) {
             return storeCancellation(queue, account, job, deadlineMillis);
         }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/RemovedRoutes.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/RemovedRoutes.java
@@ -52,7 +52,7 @@
      * @param loop event loop that provides the timers
      * @param status the known jobs
      * @param config returns the configuration in force
-     * @param mayBeUnreported returns whether a job that the table lacks may exist
+     * @param mayBeUnreported returns whether a job may exist whose accepted route the table lacks
      */
     RemovedRoutes(
             Loop loop,
@@ -114,7 +114,7 @@
         if (queue.isPresent()) {
             return new Lookup.Found(queue.get());
         }
-        return mStatus.get(job) == null && mMayBeUnreported.test(job)
+        return mMayBeUnreported.test(job)
                 ? new Lookup.Unavailable(
                         "the leader has not reported all jobs yet", RETRY_AFTER_MILLIS)
                 : new Lookup.NoSuchJob();
