Keep an acknowledged cancellation beside a later one that does not apply

A DELETE that was stored before the leader read the submission was acknowledged, and the job ran, if a caller of another client account or queue sent a DELETE with the same id before the submission was read: the leader kept only the last cancellation.

JobTable keeps the different cancellations of an id until the submission shows whether one of them applies. The store still keeps only the newest record of the key, so that a leader that loads the newest records does not see the earlier one.

CancelledJobTest.aCancellationThatDoesNotApplyLeavesAnEarlierOneInForce failed before (expected CANCELLED, was RUNNING).

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/CancelledJobTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/CancelledJobTest.java
@@ -115,4 +115,18 @@
 
         assertCancelledAndStopped(1);
     }
+
+    /** Guards against a stored cancellation that a request of another account takes back. */
+    @Test
+    void aCancellationThatDoesNotApplyLeavesAnEarlierOneInForce() {
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(500);
+        cancel("queue", "");
+        cancel("queue", "other");
+        mFixture.submit(JOB.value(), LeaderFixture.longRunning(1, 1_000));
+
+        mFixture.mLoop.advance(3_000);
+
+        assertCancelledAndStopped(0);
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/JobTable.java
@@ -24,7 +24,7 @@
 
     private final Map<JobId, Job> mJobs = new LinkedHashMap<>();
     private final Set<Job> mActive = new LinkedHashSet<>();
-    private final Map<JobId, KnownCancellation> mCancellations = new HashMap<>();
+    private final Map<JobId, KnownCancellations> mCancellations = new HashMap<>();
     private final Set<Job> mChanged = new LinkedHashSet<>();
     private final Set<JobId> mUnreadable = new HashSet<>();
     private final SharedQueues mSharedQueues = new SharedQueues();
@@ -32,8 +32,15 @@
     private long mNextIgnoredLineMillis = Long.MIN_VALUE;
     private int mIgnoredWithoutLineCount;
 
-    /** A cancellation and the monotonic time at which this leader read it. */
-    private record KnownCancellation(Cancellation cancellation, long knownSinceMillis) {}
+    /**
+     * The different cancellations that name a job, and the monotonic time at which this leader read
+     * the last one. A later one of another caller must not take back an earlier one before the
+     * submission shows which of them applies.
+     */
+    private static final class KnownCancellations {
+        private final Set<Cancellation> mDifferent = new LinkedHashSet<>();
+        private long mReadMillis;
+    }
 
     void configure(ClusterConfig config) {
         mConfig = config;
@@ -90,8 +97,10 @@
             applyConfig(job);
             mJobs.put(id, job);
             mActive.add(job);
-            KnownCancellation known = mCancellations.get(id);
-            if (known != null && applies(known.cancellation(), job, nowMillis)) {
+            KnownCancellations known = mCancellations.get(id);
+            if (known != null
+                    && known.mDifferent.stream()
+                            .anyMatch(cancellation -> applies(cancellation, job, nowMillis))) {
                 job.phase = JobPhase.CANCELLED;
                 markChanged(job);
             }
@@ -104,7 +113,10 @@
     }
 
     private @Nullable Job cancel(JobId id, Cancellation cancellation, long nowMillis) {
-        mCancellations.put(id, new KnownCancellation(cancellation, nowMillis));
+        KnownCancellations known =
+                mCancellations.computeIfAbsent(id, key -> new KnownCancellations());
+        known.mDifferent.add(cancellation);
+        known.mReadMillis = nowMillis;
         Job job = mJobs.get(id);
         if (job == null || job.terminal() || !applies(cancellation, job, nowMillis)) {
             return null;
@@ -180,7 +192,7 @@
         List<JobId> orphaned = new ArrayList<>();
         mCancellations.forEach(
                 (id, known) -> {
-                    if (known.knownSinceMillis() < beforeMillis && !mJobs.containsKey(id)) {
+                    if (known.mReadMillis < beforeMillis && !mJobs.containsKey(id)) {
                         orphaned.add(id);
                     }
                 });
