--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -169,6 +169,20 @@
             Level.WARN,
             "run {} is listed {} ms after the worker confirmed the order to stop it; it is sent"
                     + " again"),
+    /** A cancellation names another queue or client account than the job. */
+    CANCELLATION_IGNORED(
+            537,
+            Level.WARN,
+            "cancellation of job {} is ignored: it names queue {} and client account {}, the job"
+                    + " has queue {} and client account {}; {} more ignored since the last line"),
+    /** A cancellation was stored. */
+    CANCELLATION_STORED(538, Level.INFO, "cancellation of job {} of queue {} stored after {} ms"),
+    /** A cancellation was answered from the table of jobs and not stored. */
+    CANCELLATION_NOT_STORED(
+            539,
+            Level.INFO,
+            "cancellation of job {} of queue {} and client account {} is not stored: the job is {},"
+                    + " has queue {} and client account {}; the report of the leader is {} ms old"),
     /** Runs are still there although they should have been stopped. */
     STOPS_OVERDUE(
             542,
