dispatch tests: bound how long a run of a cancelled job goes on

RunHistory has the rule RUN_AFTER_CANCELLATION: a run of a cancelled job is there more than 3,200 ms after its cancellation and the end of the last disruption. It is checked at each step, at each end of a run and before each disruption, so a stretch also counts if a disruption follows on it. A run whose order was carried out late has 4 s more.

SimulatedWorker and FaultyWorkers have new faults: a share of all calls gets no answer, is refused with 503, or is reset; lists of polls arrive up to 0.4 s old, which counts as no disruption; a worker takes at most 16 connections. Two variants, both off unless asked for: calls that have timed out keep their connections, and the first stop of a run is answered and has no effect. CancellationFaults plays jobs that last, submitted early and cancelled 5 s after the faults, in the middle of a change of leaders, or beside the faults.

Not played: FLAP_AS_NEW beside cancellations.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkers.java
@@ -1,5 +1,6 @@
 package org.hornbeamward.dispatch.fake;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -13,6 +14,7 @@
 public final class FaultyWorkers implements WorkerControl {
     private static final int MAX_JITTER_MILLIS = 400;
     private static final int MAX_CONNECT_MILLIS = 400;
+    private static final int MAX_LIST_AGE_MILLIS = 400;
 
     /** What a call does on the worker; it passes the result on once there is one. */
     private interface Action<T> {
@@ -36,13 +38,86 @@
                     new PollOutcome.Failed("status 503"),
                     new PollOutcome.OtherLife());
 
+    /** A call and the connection that it has taken. */
+    private final class Call<T> {
+        private final CompletableFuture<T> mAnswer = new CompletableFuture<>();
+        private final T mUnknown;
+        private @Nullable WorkerConnections mTakenFrom;
+        private int mIncarnation;
+
+        Call(T unknown, long timeoutMillis) {
+            mUnknown = unknown;
+            mLoop.schedule(timeoutMillis, this::timeOut);
+        }
+
+        /** Takes a connection; returns false if the worker takes no further one. */
+        boolean connect(SimulatedWorker worker) {
+            WorkerConnections connections = connections(worker);
+            if (!connections.take()) {
+                return false;
+            }
+            noteTaken(connections, worker);
+            return true;
+        }
+
+        /** Takes a connection that is open, if there is one; none can be opened. */
+        void connectIfOpen(SimulatedWorker worker) {
+            WorkerConnections connections = connections(worker);
+            if (connections.takeIdle()) {
+                noteTaken(connections, worker);
+            }
+        }
+
+        private void noteTaken(WorkerConnections connections, SimulatedWorker worker) {
+            mTakenFrom = connections;
+            mIncarnation = worker.incarnation();
+        }
+
+        /** Ends the call; the next one may take its connection, also one that the caller sends. */
+        void end(T outcome) {
+            if (!mAnswer.isDone()) {
+                if (mTakenFrom != null) {
+                    mTakenFrom.giveBack(mIncarnation);
+                }
+                mAnswer.complete(outcome);
+            }
+        }
+
+        /** Ends the call with its connection, whether it was carried out or not. */
+        void reset() {
+            if (!mAnswer.isDone()) {
+                closeConnection();
+                mAnswer.complete(mUnknown);
+            }
+        }
+
+        private void timeOut() {
+            if (!mAnswer.isDone()) {
+                if (!timedOutCallsKeepConnections) {
+                    closeConnection();
+                }
+                mAnswer.complete(mUnknown);
+            }
+        }
+
+        private void closeConnection() {
+            if (mTakenFrom != null) {
+                mTakenFrom.close(mIncarnation);
+            }
+        }
+    }
+
     private final Loop mBase;
     private final Loop mLoop;
     private final Map<String, SimulatedWorker> mWorkers;
+    private final Map<String, WorkerConnections> mConnections = new HashMap<>();
 
     /** Whether a delayed order may be carried out by a later incarnation of its worker. */
     public boolean laterIncarnationsTakeOrders;
 
+    /** Whether the connection of a call that has timed out stays open and takes no other call. */
+    public boolean timedOutCallsKeepConnections;
+
     /**
      * Creates connections.
      *
@@ -56,52 +131,74 @@
         mWorkers = workers;
     }
 
+    /** Closes all connections, as at the end of the process. */
+    public void closeConnections() {
+        mConnections.values().forEach(WorkerConnections::closeAll);
+    }
+
+    private WorkerConnections connections(SimulatedWorker worker) {
+        return mConnections.computeIfAbsent(worker.name(), name -> new WorkerConnections(worker));
+    }
+
     private <T> CompletableFuture<T> call(
             WorkerEntry entry, long timeoutMillis, Failures<T> failures, Action<T> action) {
-        CompletableFuture<T> answer = new CompletableFuture<>();
-        mLoop.schedule(timeoutMillis, () -> answer.complete(failures.unknown()));
+        Call<T> call = new Call<>(failures.unknown(), timeoutMillis);
         SimulatedWorker worker = mWorkers.get(entry.address());
         if (worker == null) {
-            mLoop.schedule(0, () -> answer.complete(failures.notSent()));
-            return answer;
-        }
-        if (worker.has(SimulatedWorker.Fault.REFUSED)) {
+            mLoop.schedule(0, () -> call.end(failures.notSent()));
+        } else if (worker.has(SimulatedWorker.Fault.REFUSED)) {
             mLoop.schedule(
                     worker.random().nextInt(MAX_CONNECT_MILLIS),
-                    () -> answer.complete(failures.notSent()));
+                    () -> call.end(failures.notSent()));
         } else if (worker.has(SimulatedWorker.Fault.CUT)) {
-            return answer;
+            call.connectIfOpen(worker);
         } else if (worker.has(SimulatedWorker.Fault.OTHER_WORKER)) {
-            deliver(worker, () -> answer.complete(failures.otherWorker()));
+            deliver(worker, () -> call.end(failures.otherWorker()));
         } else if (!worker.isUp()) {
-            deliver(worker, () -> answer.complete(failures.notSent()));
+            deliver(worker, () -> call.end(failures.notSent()));
         } else if (worker.has(SimulatedWorker.Fault.UNHEALTHY)) {
-            deliver(worker, () -> answer.complete(failures.unhealthy()));
-        } else {
-            boolean late =
-                    worker.has(SimulatedWorker.Fault.LATE_CALLS) && worker.random().nextBoolean();
-            long delayMillis = late ? 2_000 + worker.random().nextInt(10_000) : pathMillis(worker);
-            int incarnation = worker.incarnation();
-            mBase.schedule(
-                    delayMillis,
-                    () -> {
-                        boolean sameProcess =
-                                worker.incarnation() == incarnation || laterIncarnationsTakeOrders;
-                        if (!worker.isUp() || !sameProcess) {
-                            mLoop.schedule(1, () -> answer.complete(failures.unknown()));
-                        } else if (late || !worker.has(SimulatedWorker.Fault.CUT)) {
-                            action.run(
-                                    worker,
-                                    late,
-                                    outcome -> {
-                                        if (!late && answers(worker, incarnation)) {
-                                            deliver(worker, () -> answer.complete(outcome));
-                                        }
-                                    });
-                        }
-                    });
+            deliver(worker, () -> call.end(failures.unhealthy()));
+        } else if (!call.connect(worker)) {
+            deliver(worker, call::reset);
+        } else if (worker.strikes(SimulatedWorker.Fault.SHED)) {
+            deliver(worker, () -> call.end(failures.unhealthy()));
+        } else if (!worker.strikes(SimulatedWorker.Fault.MUTE)) {
+            boolean reset = worker.strikes(SimulatedWorker.Fault.RESET);
+            if (reset && worker.random().nextBoolean()) {
+                deliver(worker, call::reset);
+            } else {
+                carryOut(worker, call, reset, action);
+            }
         }
-        return answer;
+        return call.mAnswer;
+    }
+
+    private <T> void carryOut(
+            SimulatedWorker worker, Call<T> call, boolean reset, Action<T> action) {
+        boolean late =
+                worker.has(SimulatedWorker.Fault.LATE_CALLS) && worker.random().nextBoolean();
+        long delayMillis = late ? 2_000 + worker.random().nextInt(10_000) : pathMillis(worker);
+        int incarnation = worker.incarnation();
+        mBase.schedule(
+                delayMillis,
+                () -> {
+                    boolean sameProcess =
+                            worker.incarnation() == incarnation || laterIncarnationsTakeOrders;
+                    if (!worker.isUp() || !sameProcess) {
+                        mLoop.schedule(1, call::reset);
+                    } else if (late || !worker.has(SimulatedWorker.Fault.CUT)) {
+                        action.run(
+                                worker,
+                                late,
+                                outcome -> {
+                                    if (!late && answers(worker, incarnation)) {
+                                        deliver(
+                                                worker,
+                                                reset ? call::reset : () -> call.end(outcome));
+                                    }
+                                });
+                    }
+                });
     }
 
     /** Sends an order, which a worker that is up may refuse or leave without an answer. */
@@ -114,12 +211,13 @@
                             || (start && worker.has(SimulatedWorker.Fault.STARTS_HANG));
             boolean refuses = start && worker.has(SimulatedWorker.Fault.STARTS_REFUSED);
             if (hangs || refuses) {
-                CompletableFuture<OrderOutcome> answer = new CompletableFuture<>();
-                mLoop.schedule(timeoutMillis, () -> answer.complete(ORDER_FAILURES.unknown()));
-                if (!hangs) {
-                    deliver(worker, () -> answer.complete(ORDER_FAILURES.unhealthy()));
+                Call<OrderOutcome> call = new Call<>(ORDER_FAILURES.unknown(), timeoutMillis);
+                if (!call.connect(worker)) {
+                    deliver(worker, call::reset);
+                } else if (!hangs) {
+                    deliver(worker, () -> call.end(ORDER_FAILURES.unhealthy()));
                 }
-                return answer;
+                return call.mAnswer;
             }
         }
         return call(entry, timeoutMillis, ORDER_FAILURES, action);
@@ -210,7 +308,13 @@
             return;
         }
         if (worker.hasEnds() || mBase.nowMillis() >= untilMillis) {
-            answer.accept(worker.lists());
+            PollOutcome lists = worker.lists();
+            if (worker.has(SimulatedWorker.Fault.OLD_LISTS)) {
+                mBase.schedule(
+                        worker.random().nextInt(MAX_LIST_AGE_MILLIS), () -> answer.accept(lists));
+            } else {
+                answer.accept(lists);
+            }
         } else {
             mBase.schedule(5, () -> awaitEnd(worker, incarnation, untilMillis, answer));
         }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/SimulatedWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/SimulatedWorker.java
@@ -48,7 +48,15 @@
         /** Start orders are not carried out and get no answer; all other calls are carried out. */
         STARTS_HANG,
         /** Start and stop orders are not carried out and get no answer; polls are answered. */
-        ORDERS_HANG
+        ORDERS_HANG,
+        /** A share of the calls is not carried out and gets no answer. */
+        MUTE,
+        /** A share of the calls is answered with status 503 and not carried out. */
+        SHED,
+        /** The connections of a share of the calls are reset, half of them after the call. */
+        RESET,
+        /** Answers to polls arrive up to 0.4 s after the lists in them were made. */
+        OLD_LISTS
     }
 
     /** Decides how runs of a task behave. */
@@ -66,6 +74,7 @@
         private final long mStartMillis;
         private final long mDurationMillis;
         private boolean mStopping;
+        private boolean mStopLost;
 
         LiveRun(TaskName task, int attempt, long startMillis, long durationMillis) {
             mTask = task;
@@ -84,6 +93,7 @@
     private final long mLongestLeaseMillis;
     private final int mClockPercent;
     private final Map<Fault, Long> mFaultEndMillis = new EnumMap<>(Fault.class);
+    private final Map<Fault, Integer> mFaultPercents = new EnumMap<>(Fault.class);
     private final List<LiveRun> mRuns = new ArrayList<>();
     private final Map<TaskName, Integer> mHighestEndedAttempts = new HashMap<>();
     private final List<EndReport> mEnds = new ArrayList<>();
@@ -105,7 +115,14 @@
     /** Whether an acknowledgement also covers later ends whose numbers it reaches. */
     public boolean remembersAcknowledgements;
 
+    /** Whether the first stop of a run is answered and has no effect. */
+    public boolean losesFirstStops;
+
+    /** Largest number of connections that may be open at the same time. */
+    public int maxConnectionCount = Integer.MAX_VALUE;
+
     private long mAcknowledgedEnd;
+    private int mConnectionCount;
 
     /**
      * Creates a worker that has been up for a day.
@@ -171,6 +188,36 @@
         mFaultEndMillis.merge(fault, untilMillis, Math::max);
     }
 
+    /**
+     * Starts or prolongs a fault that affects a share of the calls.
+     *
+     * @param fault the fault
+     * @param percent the share in percent; replaces that of an earlier fault of the same kind
+     * @param untilMillis monotonic time at which it ends
+     */
+    public void addFault(Fault fault, int percent, long untilMillis) {
+        addFault(fault, untilMillis);
+        mFaultPercents.put(fault, percent);
+    }
+
+    /** Returns whether a fault that affects a share of the calls affects the next one. */
+    boolean strikes(Fault fault) {
+        return has(fault) && mRandom.nextInt(100) < mFaultPercents.getOrDefault(fault, 100);
+    }
+
+    /** Opens a connection; returns false if the worker takes no further one. */
+    boolean openConnection() {
+        if (mConnectionCount >= maxConnectionCount) {
+            return false;
+        }
+        mConnectionCount++;
+        return true;
+    }
+
+    void closeConnections(int count) {
+        mConnectionCount -= count;
+    }
+
     /**
      * Returns whether a fault is present.
      *
@@ -194,6 +241,7 @@
         mLastEndNumber = 0;
         mLastLapsedEnd = 0;
         mAcknowledgedEnd = 0;
+        mConnectionCount = 0;
         mUp = false;
         mIncarnation++;
     }
@@ -313,8 +361,12 @@
             return new OrderOutcome.Rejected(Rejection.FENCED, clockMillis());
         }
         mHighestToken = token;
-        mHighestEndedAttempts.merge(task, attempt, Math::max);
         LiveRun run = find(task, attempt);
+        if (run != null && losesFirstStops && !run.mStopLost) {
+            run.mStopLost = true;
+            return new OrderOutcome.Done(clockMillis());
+        }
+        mHighestEndedAttempts.merge(task, attempt, Math::max);
         if (run != null && !run.mStopping) {
             run.mStopping = true;
             mLoop.schedule(
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
@@ -77,6 +77,14 @@
         ORDERS_HANG,
         /** Polls and orders get no answer and are not carried out. */
         HANG,
+        /** A share of all calls, which follows from the target, gets no answer. */
+        MUTE,
+        /** A share of all calls, which follows from the target, is answered with status 503. */
+        SHED,
+        /** The connections of a share of all calls, which follows from the target, are reset. */
+        RESET,
+        /** Answers to polls are a little older than others. */
+        OLD_LISTS,
         STORE_SLOW,
         STORE_UNANSWERED,
         STORE_LATE,
@@ -118,16 +126,39 @@
      *     written
      * @param remembersAcknowledgements an acknowledgement also covers ends of later runs whose
      *     numbers it reaches
+     * @param timedOutCallsKeepConnections a call that has timed out keeps its connection
+     * @param losesFirstStops the first stop of a run is answered and has no effect
      */
     record Variant(
             boolean hidesStoppingRuns,
             boolean laterIncarnationsTakeOrders,
             boolean unregisteredAnswersOther,
-            boolean remembersAcknowledgements) {
+            boolean remembersAcknowledgements,
+            boolean timedOutCallsKeepConnections,
+            boolean losesFirstStops) {
         static final Variant NONE = new Variant(false, false, false, false);
+
+        /** Creates a variant in which no connection is kept and no stop is lost. */
+        Variant(
+                boolean hidesStoppingRuns,
+                boolean laterIncarnationsTakeOrders,
+                boolean unregisteredAnswersOther,
+                boolean remembersAcknowledgements) {
+            this(
+                    hidesStoppingRuns,
+                    laterIncarnationsTakeOrders,
+                    unregisteredAnswersOther,
+                    remembersAcknowledgements,
+                    false,
+                    false);
+        }
     }
 
-    private static final int WORKER_COUNT = 4;
+    static final int WORKER_COUNT = 4;
+
+    /** Largest number of connections to a worker, more than the calls of two leaders need. */
+    private static final int MAX_CONNECTION_COUNT = 16;
+
     private static final int MIN_LOSS_WORKER_COUNT = 6;
     private static final long ENTRY_LIFE_MILLIS = 4_500;
     private static final long FLAP_PERIOD_MILLIS = 1_400;
@@ -154,15 +185,16 @@
         private final PausableLoop mProcessLoop = new PausableLoop(mLoop);
         private final FaultyStore mConnection =
                 new FaultyStore(mLoop, mProcessLoop, mStore, mRandom);
+        private final FaultyWorkers mControl = new FaultyWorkers(mLoop, mProcessLoop, mWorkers);
         private final Dispatcher mDispatcher;
         private final Map<JobId, JobPhase> mPhases = new HashMap<>();
         private long mFirstRecordMillis = -1;
         private boolean mGone;
 
         Leader(long epoch, FormerLeader former) {
-            FaultyWorkers control = new FaultyWorkers(mLoop, mProcessLoop, mWorkers);
-            control.laterIncarnationsTakeOrders = mVariant.laterIncarnationsTakeOrders();
-            mDispatcher = newDispatcher(control, epoch, former);
+            mControl.laterIncarnationsTakeOrders = mVariant.laterIncarnationsTakeOrders();
+            mControl.timedOutCallsKeepConnections = mVariant.timedOutCallsKeepConnections();
+            mDispatcher = newDispatcher(mControl, epoch, former);
             mDispatcher.configure(
                     ClusterConfig.of(
                             1,
@@ -195,7 +227,15 @@
                     new NodeMetrics(),
                     epoch,
                     former,
-                    reason -> mGone = true);
+                    reason -> {
+                        mGone = true;
+                        mControl.closeConnections();
+                    });
+        }
+
+        void close() {
+            mDispatcher.close();
+            mControl.closeConnections();
         }
 
         @Override
@@ -267,6 +307,8 @@
                         });
         worker.hidesStoppingRuns = mVariant.hidesStoppingRuns();
         worker.remembersAcknowledgements = mVariant.remembersAcknowledgements();
+        worker.losesFirstStops = mVariant.losesFirstStops();
+        worker.maxConnectionCount = MAX_CONNECTION_COUNT;
         mWorkers.put(name, worker);
         return worker;
     }
@@ -346,6 +388,7 @@
             mLoop.advance(Math.min(50, millis - passedMillis));
             mWorkers.values().forEach(SimulatedWorker::expireLeases);
             mHistory.checkAway(this::isRoomTwice);
+            mHistory.checkCancelled();
             Leader leader = mLeader;
             if (leader != null && leader.mFirstRecordMillis < 0) {
                 leader.mFirstRecordMillis =
@@ -372,6 +415,8 @@
         return switch (event.kind()) {
             case SUBMIT, SUBMIT_CHAIN, SUBMIT_LONG_RUNNING, SUBMIT_LASTING, SHORT_JOBS, CANCEL ->
                     -1;
+            // Answers on different connections may overtake each other at any time.
+            case OLD_LISTS -> -1;
             case LEASE_DROPPED, GONE, GONE_SILENTLY -> 0;
             // A worker that is up counts as about to be registered.
             case RESTART -> Math.max(0, millis - ENTRY_INTERVAL_MILLIS);
@@ -384,9 +429,11 @@
                     STARTS_REFUSED,
                     STARTS_HANG,
                     ORDERS_HANG,
-                    HANG ->
+                    HANG,
+                    MUTE,
+                    SHED ->
                     millis;
-            case CUT, ANSWERS_LOST, JITTER, REFUSED -> millis + RunHistory.LINGER_MILLIS;
+            case CUT, ANSWERS_LOST, JITTER, REFUSED, RESET -> millis + RunHistory.LINGER_MILLIS;
             case LATE_CALLS -> millis + LATEST_CALL_MILLIS + RunHistory.LINGER_MILLIS;
             case STORE_SLOW,
                     STORE_UNANSWERED,
@@ -466,6 +513,10 @@
             case STARTS_HANG -> worker.addFault(SimulatedWorker.Fault.STARTS_HANG, untilMillis);
             case ORDERS_HANG -> worker.addFault(SimulatedWorker.Fault.ORDERS_HANG, untilMillis);
             case HANG -> worker.addFault(SimulatedWorker.Fault.CUT, untilMillis);
+            case MUTE -> addPartialFault(worker, SimulatedWorker.Fault.MUTE, event);
+            case SHED -> addPartialFault(worker, SimulatedWorker.Fault.SHED, event);
+            case RESET -> addPartialFault(worker, SimulatedWorker.Fault.RESET, event);
+            case OLD_LISTS -> worker.addFault(SimulatedWorker.Fault.OLD_LISTS, untilMillis);
             case STORE_SLOW -> disturbStore(FaultyStore.Fault.SLOW, event.millis());
             case STORE_UNANSWERED -> disturbStore(FaultyStore.Fault.UNANSWERED, event.millis());
             case STORE_LATE -> disturbStore(FaultyStore.Fault.LATE, event.millis());
@@ -479,6 +530,16 @@
         }
     }
 
+    private void addPartialFault(SimulatedWorker worker, SimulatedWorker.Fault fault, Event event) {
+        int percent =
+                switch (event.target() / mWorkerCount % 3) {
+                    case 0 -> 30;
+                    case 1 -> 60;
+                    default -> 90;
+                };
+        worker.addFault(fault, percent, mLoop.nowMillis() + event.millis());
+    }
+
     private static int lastingCount(int target) {
         return 1 + target / 5 % 4;
     }
@@ -557,12 +618,12 @@
         FormerLeader former = mRandom.nextBoolean() ? new FormerLeader.Unknown() : silent;
         switch (event.kind()) {
             case LEADER_KILLED -> {
-                leader.mDispatcher.close();
+                leader.close();
                 leader.mProcessLoop.kill();
                 replace(former, event.millis());
             }
             case LEADER_RESIGNED -> {
-                leader.mDispatcher.close();
+                leader.close();
                 replace(
                         new FormerLeader.Stopped(
                                 mEpoch,
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaultsTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaultsTest.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 
@@ -33,6 +34,19 @@
         return LongStream.of(433, 1_056, 3_543, 4_748, 6_556, 7_115, 9_511, 9_512);
     }
 
+    static LongStream seedsOfCancellations() {
+        return LongStream.rangeClosed(1, 300);
+    }
+
+    static LongStream seedsOfLostStops() {
+        return LongStream.rangeClosed(94, 100);
+    }
+
+    private static void checkCancellations(long seed, RandomFaults.Variant variant) {
+        List<RandomFaults.Event> schedule = CancellationFaults.schedule(seed);
+        assertNoneBroken(seed, schedule, RandomFaults.run(seed, schedule, variant));
+    }
+
     private static void check(long seed, RandomFaults.Variant variant) {
         List<RandomFaults.Event> schedule = RandomFaults.schedule(seed);
         assertNoneBroken(seed, schedule, RandomFaults.run(seed, schedule, variant));
@@ -81,6 +95,19 @@
         check(seed, new RandomFaults.Variant(false, false, false, true));
     }
 
+    @ParameterizedTest
+    @MethodSource("seedsOfCancellations")
+    void noRuleIsBrokenWhereJobsThatLastAreCancelled(long seed) {
+        checkCancellations(seed, RandomFaults.Variant.NONE);
+    }
+
+    @ParameterizedTest
+    @MethodSource("seedsOfLostStops")
+    @Tag("known-red")
+    void noRunOfACancelledJobGoesOnWhereFirstStopsAreLost(long seed) {
+        checkCancellations(seed, new RandomFaults.Variant(false, false, false, false, false, true));
+    }
+
     @ParameterizedTest
     @MethodSource("seedsOfLosses")
     void noRuleIsBrokenWhereWorkersWithLongRunningTasksAreLost(long seed) {
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RunHistory.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RunHistory.java
@@ -26,6 +26,9 @@
     /** Longest time from a stored cancellation to the last start. */
     static final long CANCEL_MILLIS = 3_000;
 
+    /** Longest time that a worker takes to stop a run. */
+    static final long STOP_MILLIS = 200;
+
     /** Time from the end of its last run after which a task that lasts counts as away. */
     static final long AWAY_MILLIS = 6_000;
 
@@ -50,6 +53,11 @@
         TASK_NOT_RUNNING,
         /** A task that lasts was away for 9 s, with room for it twice, and all was calm. */
         TASK_AWAY,
+        /**
+         * A run of a cancelled job was there after {@link #CANCEL_MILLIS} + {@link #STOP_MILLIS}
+         * without a disruption.
+         */
+        RUN_AFTER_CANCELLATION,
         RUN_OF_ENDED_JOB
     }
 
@@ -60,14 +68,20 @@
         private final int mAttempt;
         private final String mIncarnation;
         private final long mStartMillis;
+
+        /** Whether the worker carried out the start order late. */
+        private final boolean mLate;
+
         private long mEndMillis = Long.MAX_VALUE;
         private @Nullable EndKind mKind;
         private boolean mAcknowledged;
+        private boolean mReportedAfterCancellation;
 
-        SeenRun(int attempt, String incarnation, long startMillis) {
+        SeenRun(int attempt, String incarnation, long startMillis, boolean late) {
             mAttempt = attempt;
             mIncarnation = incarnation;
             mStartMillis = startMillis;
+            mLate = late;
         }
 
         boolean counts(EndKind kind, long beforeMillis) {
@@ -130,9 +144,49 @@
      * @param millis its duration
      */
     void disrupted(long millis) {
+        checkCancelled();
         mCalmSinceMillis = Math.max(mCalmSinceMillis, mLoop.nowMillis() + millis);
     }
 
+    /**
+     * Checks that no run of a cancelled job has outlasted a stretch without a disruption in which
+     * it had to be stopped. A stretch counts also if a disruption follows on it.
+     */
+    void checkCancelled() {
+        if (mCancelledMillis.isEmpty()) {
+            return;
+        }
+        mRuns.forEach(
+                (task, runs) -> {
+                    Long cancelledMillis = mCancelledMillis.get(task.job());
+                    if (cancelledMillis != null) {
+                        runs.forEach(run -> checkCancelled(task, run, cancelledMillis));
+                    }
+                });
+    }
+
+    private void checkCancelled(TaskName task, SeenRun run, long cancelledMillis) {
+        if (run.mEndMillis != Long.MAX_VALUE || run.mReportedAfterCancellation) {
+            return;
+        }
+        long sinceMillis = Math.max(cancelledMillis, mCalmSinceMillis);
+        if (run.mLate) {
+            sinceMillis = Math.max(sinceMillis, run.mStartMillis + LINGER_MILLIS);
+        }
+        if (mLoop.nowMillis() - sinceMillis > CANCEL_MILLIS + STOP_MILLIS) {
+            run.mReportedAfterCancellation = true;
+            violate(
+                    Rule.RUN_AFTER_CANCELLATION,
+                    task
+                            + ": "
+                            + run
+                            + ", cancelled at "
+                            + cancelledMillis
+                            + ", calm since "
+                            + mCalmSinceMillis);
+        }
+    }
+
     /**
      * Checks that no task of a long-running job stays away although there is room for it twice.
      *
@@ -203,7 +257,7 @@
             TaskName task, int attempt, String incarnation, boolean late, long orderMillis) {
         mBeforeStart.run();
         long now = mLoop.nowMillis();
-        SeenRun started = new SeenRun(attempt, incarnation, now);
+        SeenRun started = new SeenRun(attempt, incarnation, now, late);
         boolean longRunning = step(task).longRunning();
         for (SeenRun run : runs(task)) {
             if (run.mEndMillis > now) {
@@ -260,6 +314,7 @@
 
     @Override
     public void ended(TaskName task, int attempt, String incarnation, @Nullable EndKind kind) {
+        checkCancelled();
         SeenRun run = find(task, attempt, incarnation);
         run.mEndMillis = mLoop.nowMillis();
         run.mKind = kind;
