Bound the record of the learned interference

What callers saw: on a site with 40 images of tasks that last and 40 that fill, with names of about 100 characters, nothing was committed any more after 15 s.

Cause: the learned interference of all pairs of images is one record (key "pressure"), of 348,814 bytes there. The store takes 262,144 and refuses the commit that contains it, which FencedWriter repeats without end.

Change: InterferenceCodec encodes at most 64 KiB. InterferenceModel lists the most useful coefficients first: of serving images with samples before those that only an earlier leader has seen, and among them those by which the prediction differs most from that of the prior. A pair that is left out is learned again by a successor. One name that is longer than a text may be no longer makes the record unreadable. The model itself kept every serving image that it had ever seen, of 13 KB each; it now keeps the 256 that had samples last. The format stays, so earlier builds read the record.

Weighed: several records (they grow without a limit, for a value that only saves time), a table of the names (smaller, but a new format and still without a limit), a call of its own (a refused one must then be given up and told apart from others), and leaving the record out when it is too long (a successor then learns everything again).

FakeStore now refuses a record of more than 262,144 bytes, as the platform's store does.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/InterferenceModelTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/decide/InterferenceModelTest.java
@@ -200,4 +200,38 @@
         }
         assertTrue(mGroup.unloadedHeadroom(0) > 2.8, "" + mGroup.unloadedHeadroom(0));
     }
+
+    /** Guards against a bounded record that keeps what a successor would assume anyway. */
+    @Test
+    void theCoefficientsThatDifferMostFromThePriorComeFirst() {
+        report(0, 10);
+        List<InterferenceModel.Coefficient> learned = mModel.learned();
+        assertEquals(
+                List.of("heavy", "light"),
+                learned.stream().map(InterferenceModel.Coefficient::filler).toList());
+    }
+
+    /** Guards against a bounded record that fills up with images that are no longer in use. */
+    @Test
+    void theCoefficientsOfImagesInUseComeBeforeThoseOfEarlierLeaders() {
+        mModel.restore(List.of(new InterferenceModel.Coefficient("earlier", "heavy", 3.0, 1_000)));
+        report(0, 10);
+        assertEquals(
+                List.of("serving", "serving", "earlier"),
+                mModel.learned().stream().map(InterferenceModel.Coefficient::serving).toList());
+    }
+
+    /** Guards against a leader whose memory grows with every image that was ever used. */
+    @Test
+    void theServingImagesWithoutSamplesForLongestAreForgotten() {
+        report(0, 10);
+        for (int number = 0; number < 10_000; number++) {
+            ServingGroup.Difference difference =
+                    new ServingGroup.Difference(0.5, Map.of("heavy", 1.0));
+            mModel.observe("other" + number, difference);
+        }
+        assertFalse(mModel.isKnown("serving"));
+        assertTrue(mModel.fillerImages("other0").isEmpty());
+        assertEquals(List.of("heavy"), mModel.fillerImages("other9999"));
+    }
 }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
@@ -19,6 +19,12 @@
     /** Largest size of one append; the platform's setting {@code call_bytes}. */
     private static final int MAX_CALL_BYTES = 2 * 1024 * 1024;
 
+    /** Largest size of a record; the platform's setting {@code record_bytes}. */
+    private static final int MAX_RECORD_BYTES = 262_144;
+
+    /** Bytes of a record that say how long its key is. */
+    private static final int KEY_LENGTH_BYTES = 1;
+
     private final Loop mLoop;
     private final Map<Topic, List<KeyedRecord>> mTopics = new EnumMap<>(Topic.class);
     private final Map<Topic, Integer> mEarliestOffsets = new EnumMap<>(Topic.class);
@@ -44,6 +50,9 @@
     /** Time until a read looks for records. */
     public long readMillis = ANSWER_MILLIS;
 
+    /** Number of append calls that were refused because a record was too large. */
+    public int tooLargeCount;
+
     /** Number of append calls. */
     public int appendCount;
 
@@ -91,6 +100,14 @@
         if (records.stream().mapToInt(KeyedRecord::byteCount).sum() > MAX_CALL_BYTES) {
             return completeLater(ANSWER_MILLIS, new AppendOutcome.Refused("the call is too large"));
         }
+        for (KeyedRecord record : records) {
+            if (KEY_LENGTH_BYTES + record.byteCount() > MAX_RECORD_BYTES) {
+                tooLargeCount++;
+                return completeLater(
+                        ANSWER_MILLIS,
+                        new AppendOutcome.Refused("record " + record.key() + " is too large"));
+            }
+        }
         AppendOutcome outcome = apply(topic, records, condition);
         if (loseAnswerCount > 0) {
             loseAnswerCount--;
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/InterferenceCodecTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/InterferenceCodecTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.hornbeamward.codec.Reader;
 import org.hornbeamward.dispatch.decide.InterferenceModel;
@@ -40,4 +41,28 @@
         assertTrue(model.perCore("desk", "light") < 0.05);
         assertTrue(model.perCore("watch", "heavy") < 0.05);
     }
+
+    /** Guards against a record that outgrows the store with the number of images. */
+    @Test
+    void theMostUsefulCoefficientsOfManyImagesAreKeptWithinTheBound() {
+        List<Coefficient> learned = new ArrayList<>();
+        for (int number = 0; number < 2_000; number++) {
+            learned.add(new Coefficient("serving" + number, "f".repeat(200), 0.5, 10));
+        }
+        byte[] bytes = InterferenceCodec.encode(learned);
+        List<Coefficient> kept = InterferenceCodec.decode(bytes);
+
+        assertTrue(bytes.length <= InterferenceCodec.MAX_BYTES);
+        assertTrue(bytes.length > InterferenceCodec.MAX_BYTES - 1_000);
+        assertEquals(learned.subList(0, kept.size()), kept);
+    }
+
+    /** Guards against one long name that makes the whole record unreadable, or empty. */
+    @Test
+    void anImageWithANameThatDoesNotFitIsLeftOut() {
+        List<Coefficient> learned = new ArrayList<>(LEARNED);
+        learned.add(0, new Coefficient("x".repeat(Reader.MAX_TEXT_BYTES + 1), "heavy", 0.9, 500));
+
+        assertEquals(LEARNED, InterferenceCodec.decode(InterferenceCodec.encode(learned)));
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/InterferenceModel.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/decide/InterferenceModel.java
@@ -3,7 +3,10 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 
@@ -39,7 +42,14 @@
     /** Largest weight, in squared cores, of a coefficient that an earlier leader has learned. */
     private static final double MAX_RESTORED_WEIGHT = 30.0;
 
-    private final Map<String, Fit> mFits = new HashMap<>();
+    /**
+     * Largest number of serving images with a fit; those without samples for longest are forgotten.
+     * A fit takes 13 KB.
+     */
+    private static final int MAX_FIT_COUNT = 256;
+
+    /** Fits by serving image, those without samples for longest first. */
+    private final Map<String, Fit> mFits = new LinkedHashMap<>();
 
     /**
      * The learned coefficient of a pair of images.
@@ -59,6 +69,9 @@
         private double[] mPerCore = new double[0];
         private int mSamplesSinceFitCount;
 
+        /** Whether it has samples, and not only what an earlier leader has learned. */
+        private boolean mObserved;
+
         private int indexOf(String image) {
             int index = mIndexes.getOrDefault(image, -1);
             if (index < 0 && mImages.size() < MAX_IMAGE_COUNT) {
@@ -79,7 +92,11 @@
      * @param difference the difference of one task from the others
      */
     public void observe(String image, ServingGroup.Difference difference) {
-        Fit fit = mFits.computeIfAbsent(image, key -> new Fit());
+        Fit known = mFits.remove(image);
+        Fit fit = known == null ? new Fit() : known;
+        fit.mObserved = true;
+        mFits.put(image, fit);
+        forgetOldFits();
         Map<Integer, Double> cores = new HashMap<>();
         difference
                 .fillerCores()
@@ -88,6 +105,14 @@
         addSample(fit, cores, difference.headroom());
     }
 
+    private void forgetOldFits() {
+        Iterator<Fit> oldest = mFits.values().iterator();
+        while (mFits.size() > MAX_FIT_COUNT) {
+            oldest.next();
+            oldest.remove();
+        }
+    }
+
     private static void addSample(Fit fit, Map<Integer, Double> cores, double lostHeadroom) {
         int count = fit.mImages.size();
         for (int row = 0; row < count; row++) {
@@ -194,14 +219,18 @@
     }
 
     /**
-     * Returns the learned coefficients, so that a later leader need not learn them again.
+     * Returns the learned coefficients, so that a later leader need not learn them again. Those of
+     * serving images with samples come before those that an earlier leader has learned, and among
+     * them those that differ most from the prior, in proportion to their weight.
      *
-     * @return all pairs of images that were seen together
+     * @return all pairs of images that were seen together, the most useful ones first
      */
     public List<Coefficient> learned() {
-        List<Coefficient> learned = new ArrayList<>();
+        List<Coefficient> observed = new ArrayList<>();
+        List<Coefficient> restored = new ArrayList<>();
         mFits.forEach(
                 (serving, fit) -> {
+                    List<Coefficient> learned = fit.mObserved ? observed : restored;
                     for (int index = 0; index < fit.mPerCore.length; index++) {
                         double weight = fit.mNormalMatrix[index][index];
                         learned.add(
@@ -212,17 +241,31 @@
                                         weight));
                     }
                 });
-        return learned;
+        Comparator<Coefficient> mostUseful =
+                Comparator.comparingDouble(InterferenceModel::usefulness).reversed();
+        observed.sort(mostUseful);
+        restored.sort(mostUseful);
+        observed.addAll(restored);
+        return observed;
+    }
+
+    /** Returns by how much a model without the coefficient would predict another headroom. */
+    private static double usefulness(Coefficient coefficient) {
+        double share = coefficient.weight() / (coefficient.weight() + PRIOR_WEIGHT);
+        return share * Math.abs(coefficient.perCore() - PRIOR_PER_CORE);
     }
 
     /**
      * Starts from the coefficients that an earlier leader has learned. New samples outweigh them
      * within seconds.
      *
-     * @param learned coefficients that the earlier leader stored
+     * @param learned coefficients that the earlier leader stored, the most useful ones first
      */
     public void restore(List<Coefficient> learned) {
         for (Coefficient coefficient : learned) {
+            if (mFits.size() >= MAX_FIT_COUNT && !mFits.containsKey(coefficient.serving())) {
+                continue;
+            }
             Fit fit = mFits.computeIfAbsent(coefficient.serving(), key -> new Fit());
             int index = fit.indexOf(coefficient.filler());
             if (index >= 0) {
