Store long checkpoints by themselves, and progress in parts

What callers saw: a job of 180 tasks that saved checkpoints of 2,000 characters stopped all commits as long as its tasks worked. The same with 3,400 tasks and checkpoints of 64 characters.

Cause: the progress of a job with all checkpoints is one record, of 330 KB there. The store takes 262,144 bytes and refuses the commit that contains it, which FencedWriter repeats without end. MAX_TASK_COUNT assumed 74 bytes a task, that is, checkpoints of 16 characters and ids of workers of 12.

Change: checkpoints of more than 32 characters get records of their own (ProgressRecords), one for a task or a gang, which are written only when they have changed. A value that exceeds a record is appended in parts (ValueParts), which Store.splitForAppend keeps in one call, so that the store holds all of them or none; a job's progress without long checkpoints takes at most 220 bytes a task, 770 KB in all. A commit contains every checkpoint that only the leader knows, because the run that reported it is gone, and those of runs at work, which their workers list too, up to about 256 KiB and every 10 s. A checkpoint of more than 1 MB is left out, with HW540, and the stored one stays.

Crash safety: every checkpoint of a task is one to resume from, so it need not be of the same moment as the progress. A new one comes before the progress that leaves it out, and what is needless is removed after it. A checkpoint in the progress goes before one by itself. A new leader removes what is left of removed jobs. Records of earlier builds are read; an earlier build that leads again resumes without the long checkpoints, and does not misread the progress unless that takes several records, which it could not store.

Weighed: spreading the whole progress over generations of records with the job's record as the pointer (one mechanism, but each end of a task would write all checkpoints again: 7 MB for 3,500 of 2,000 characters, 8 s on the slowest link); a bound at admission (the length of a checkpoint is not known then, and a truthful one for long ids of workers would refuse jobs that are accepted today); dropping long checkpoints (loses work).

Evidence: RecordSizeTest.jobsRunAlthoughTheCheckpointsOfALargeJobOutgrowARecord failed before (the small job stayed QUEUED). ProgressRecordsTest checks what the store holds after every call of a commit; it fails if parts may be split over calls, or if the progress comes before the checkpoints, and RecordSizeTest fails if leftovers of removed jobs are not removed (one run each with the change left out).

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/JobSpec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/job/JobSpec.java
@@ -20,8 +20,8 @@
         long intervalMillis) {
 
     /**
-     * Largest number of tasks over all steps and occurrences. The progress of a job is one record
-     * of the store, which takes at most 256 KiB, and a running task takes up to 74 bytes of it.
+     * Largest number of tasks over all steps and occurrences. The progress of a job without long
+     * checkpoints is stored in one call, which takes 1 MiB, and a task takes up to 220 bytes of it.
      */
     public static final int MAX_TASK_COUNT = 3_500;
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -124,6 +124,7 @@
     private final TopicFollower mJobsFollower;
     private final TopicFollower mProgressFollower;
     private final JobTable mJobs = new JobTable();
+    private final ProgressRecords mProgressRecords = new ProgressRecords();
     private final WorkerRegistry mWorkers;
     private final List<Run> mUncommittedStarts = new ArrayList<>();
     private final OrderQueue mOrders = new OrderQueue();
@@ -411,7 +412,7 @@
         restoreInterference(mProgress.remove(INTERFERENCE_KEY));
         restoreEarlierGrants(mProgress.remove(EarlierGrants.KEY));
         Map<WorkerId, byte[]> leaseBounds = removeLeaseBounds();
-        for (Map.Entry<String, byte[]> entry : mProgress.entrySet()) {
+        for (Map.Entry<String, byte[]> entry : mProgressRecords.load(mProgress).entrySet()) {
             try {
                 inherited += inherit(entry.getKey(), entry.getValue());
             } catch (RuntimeException e) {
@@ -419,6 +420,7 @@
             }
         }
         mProgress = new HashMap<>();
+        mObsoleteProgress.addAll(mProgressRecords.finishLoading(this::isRemoved));
         leaseBounds.forEach(this::restoreLeaseBound);
         mAccounts.loaded(mJobs.all());
         for (Job job : new ArrayList<>(mJobs.all())) {
@@ -501,22 +503,23 @@
         }
     }
 
+    private boolean isRemoved(JobId id) {
+        return mJobs.get(id) == null && !mJobs.isUnreadable(id);
+    }
+
     private int inherit(String key, byte[] value) {
         Job job = JobId.parse(key).map(mJobs::get).getOrElse(() -> null);
         if (job == null) {
             LogEvent.RECORD_SKIPPED.log("progress of job " + key + ", which has no submission");
             // Earlier leaders are fenced, and a submission is stored before its progress, so a
             // submission that was not loaded has been removed.
-            JobId.parse(key)
-                    .toOption()
-                    .filter(id -> !mJobs.isUnreadable(id))
-                    .forEach(mObsoleteProgress::add);
+            JobId.parse(key).toOption().filter(this::isRemoved).forEach(mObsoleteProgress::add);
             return 0;
         }
         boolean cancelled = job.phase == JobPhase.CANCELLED;
         List<ProgressCodec.LiveRun> runs;
         try {
-            runs = ProgressCodec.decode(job, value);
+            runs = mProgressRecords.restore(job, value);
         } catch (Reader.MalformedInputException e) {
             LogEvent.RECORD_SKIPPED.log(e, "progress of job " + key + " cannot be read");
             return 0;
@@ -711,10 +714,8 @@
         List<KeyedRecord> records = new ArrayList<>();
         addProgressRemovals(records);
         Map<Job, JobPhase> phases = new LinkedHashMap<>();
-        for (Job job : changed) {
-            records.add(new KeyedRecord(job.submission.job().value(), ProgressCodec.encode(job)));
-            phases.put(job, job.phase);
-        }
+        records.addAll(mProgressRecords.encode(changed, mLoop.nowMillis()));
+        changed.forEach(job -> phases.put(job, job.phase));
         if (mReady
                 && mLoop.nowMillis() - mInterferenceSavedMillis
                         >= INTERFERENCE_SAVE_INTERVAL_MILLIS) {
@@ -758,8 +759,10 @@
             obsolete.remove();
             // A job that was submitted again under the id must not inherit the old progress.
             Job successor = mJobs.get(id);
-            byte[] progress = successor == null ? null : ProgressCodec.encode(successor);
-            records.add(new KeyedRecord(id.value(), progress));
+            records.addAll(
+                    successor == null
+                            ? mProgressRecords.remove(id)
+                            : mProgressRecords.encode(List.of(successor), mLoop.nowMillis()));
         }
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
@@ -7,7 +7,11 @@
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.lib.WorkerId;
 
-/** Encodes and decodes a job's progress record. Tasks that have never run are left out. */
+/**
+ * Encodes and decodes a job's progress. Tasks that have never run are left out, and so are
+ * checkpoints that are stored by themselves ({@link ProgressRecords}); earlier builds stored all
+ * checkpoints here. Up to 220 bytes are taken by a task.
+ */
 final class ProgressCodec {
     private static final int FORMAT = 1;
 
@@ -55,7 +59,7 @@
                 .bool(task.done)
                 .integer(task.failureCount)
                 .integer(task.lastAttempt)
-                .text(task.done ? "" : task.checkpoint.value());
+                .text(task.done || !task.checkpoint.isShort() ? "" : task.checkpoint.value());
         if (run != null) {
             writer.integer(run.attempt)
                     .text(run.worker.id())
@@ -67,12 +71,12 @@
     }
 
     /**
-     * Decodes a record into a job that has no progress yet.
+     * Decodes progress into a job that has none yet.
      *
      * @param job job whose progress is decoded
-     * @param bytes value of its progress record
+     * @param bytes its encoded progress, and possibly the end of an earlier one
      * @return the runs that may be present on workers
-     * @throws Reader.MalformedInputException if the bytes are not a progress record of this job
+     * @throws Reader.MalformedInputException if the bytes are not the progress of this job
      */
     static List<LiveRun> decode(Job job, byte[] bytes) {
         Reader reader = new Reader(bytes);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/Store.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/Store.java
@@ -15,8 +15,12 @@
      */
     int MAX_APPEND_BYTES = 1024 * 1024;
 
+    /** Largest size of a record in bytes: the length of the key, which takes one, key and value. */
+    int MAX_RECORD_BYTES = 256 * 1024;
+
     /**
-     * Splits records into batches that the store takes in one call each.
+     * Splits records into batches that the store takes in one call each. Parts of a value that
+     * follow each other ({@link ValueParts}) stay in one batch.
      *
      * @param records records in the order in which they are to be appended
      * @return at least one batch; the concatenated batches are the records
@@ -25,14 +29,19 @@
         List<List<KeyedRecord>> batches = new ArrayList<>();
         List<KeyedRecord> batch = new ArrayList<>();
         int byteCount = 0;
-        for (KeyedRecord record : records) {
-            if (!batch.isEmpty() && byteCount + record.byteCount() > MAX_APPEND_BYTES) {
+        int start = 0;
+        while (start < records.size()) {
+            int end = ValueParts.endOfParts(records, start);
+            List<KeyedRecord> parts = records.subList(start, end);
+            int partsByteCount = parts.stream().mapToInt(KeyedRecord::byteCount).sum();
+            if (!batch.isEmpty() && byteCount + partsByteCount > MAX_APPEND_BYTES) {
                 batches.add(batch);
                 batch = new ArrayList<>();
                 byteCount = 0;
             }
-            batch.add(record);
-            byteCount += record.byteCount();
+            batch.addAll(parts);
+            byteCount += partsByteCount;
+            start = end;
         }
         batches.add(batch);
         return batches;
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -185,6 +185,11 @@
                     + " placement, {} waiting"),
     /** Ended jobs are removed from the store. */
     JOBS_FORGOTTEN(521, Level.INFO, "{} ended jobs are removed from the store: {}"),
+    /** A checkpoint exceeds what the store takes in one call. */
+    CHECKPOINT_TOO_LONG(
+            540,
+            Level.WARN,
+            "checkpoint of task {} is not stored: it has {} bytes, and at most {} are"),
     /** An instance list cannot be used and was ignored. */
     LIST_IGNORED(600, Level.WARN, "instance list is ignored: {}"),
     /** An endpoint was ejected after failures. */
