Count a response as sent before its connection closes

The connection was closed, and the drain complete, before the count was lowered. The count is lowered first now. Callers saw nothing of it.

DrainingTest.aDrainedServerHasNoRequestInFlight failed before and passes.

--- a/org.hornbeamward.transport.test/tst/org/hornbeamward/transport/http/DrainingTest.java
+++ b/org.hornbeamward.transport.test/tst/org/hornbeamward/transport/http/DrainingTest.java
@@ -44,6 +44,13 @@
                 : CompletableFuture.completedFuture(reply);
     }
 
+    private CompletionStage<HttpReply> handleLater(HttpCall call) {
+        mHandledCount.incrementAndGet();
+        return CompletableFuture.supplyAsync(
+                () -> HttpReply.text(200, "text/plain", call.path()),
+                CompletableFuture.delayedExecutor(10, TimeUnit.MILLISECONDS));
+    }
+
     private Socket connect() throws IOException {
         Socket socket = new Socket(InetAddress.getLoopbackAddress(), mServer.port());
         socket.setSoTimeout(READ_TIMEOUT_MILLIS);
@@ -146,6 +153,24 @@
         }
     }
 
+    /** Guards against a drained server that seems to have cut off requests. */
+    @Test
+    void aDrainedServerHasNoRequestInFlight() throws Exception {
+        for (int round = 0; round < 20; round++) {
+            try (HttpServer server =
+                            new HttpServer("127.0.0.1", 0, 1, MAX_BODY_BYTES, this::handleLater);
+                    Socket socket = new Socket(InetAddress.getLoopbackAddress(), server.port())) {
+                send(socket, get("/a"));
+                awaitHandled(round + 1);
+
+                CompletableFuture<Integer> inFlightCount =
+                        server.drain().thenApply(unused -> server.inFlightCount());
+
+                assertEquals(0, inFlightCount.get(2, TimeUnit.SECONDS));
+            }
+        }
+    }
+
     /** Guards against a request that is cut off while its body arrives. */
     @Test
     void aDrainingServerAnswersARequestThatItIsReading() throws Exception {
--- a/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpServer.java
+++ b/org.hornbeamward.transport/src/org/hornbeamward/transport/http/HttpServer.java
@@ -5,7 +5,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelDuplexHandler;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -319,7 +318,7 @@
             boolean keepAlive = HttpUtil.isKeepAlive(request);
             if (!request.decoderResult().isSuccess()) {
                 HttpReply reply = HttpReply.json(400, "{\"kind\":\"MalformedRequest\"}");
-                write(context, reply, false);
+                write(context, reply, false, context.newPromise());
                 return;
             }
             mInFlight.incrementAndGet();
@@ -378,16 +377,23 @@
         private void writeCounted(
                 ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
             // The request stays counted until its response is flushed, so that a graceful shutdown
-            // does not cut off the response.
-            write(context, reply, keepAlive).addListener(unused -> mInFlight.decrementAndGet());
+            // does not cut off the response. Listeners run in order, and this one comes before
+            // those that close the connection.
+            ChannelPromise written = context.newPromise();
+            written.addListener(unused -> mInFlight.decrementAndGet());
+            write(context, reply, keepAlive, written);
         }
 
-        private ChannelFuture write(
-                ChannelHandlerContext context, HttpReply reply, boolean keepAlive) {
+        private void write(
+                ChannelHandlerContext context,
+                HttpReply reply,
+                boolean keepAlive,
+                ChannelPromise written) {
             // Requests behind the last response on a connection are not carried out.
             mClosing |= !keepAlive || reply.status() == 0;
             if (reply.status() == 0) {
-                return context.close();
+                context.close(written);
+                return;
             }
             FullHttpResponse response =
                     new DefaultFullHttpResponse(
@@ -398,11 +404,11 @@
             reply.repeatedHeaders()
                     .forEach(field -> response.headers().add(field.getKey(), field.getValue()));
             response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, reply.body().length);
-            if (keepAlive) {
-                return context.writeAndFlush(response);
+            if (!keepAlive) {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                written.addListener(ChannelFutureListener.CLOSE);
             }
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            return context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            context.writeAndFlush(response, written);
         }
 
         @Override
