--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
@@ -525,16 +525,18 @@
             case STORE_UNANSWERED -> disturbStore(FaultyStore.Fault.UNANSWERED, event.millis());
             case STORE_LATE -> disturbStore(FaultyStore.Fault.LATE, event.millis());
             case STORE_REFUSED -> disturbStore(FaultyStore.Fault.REFUSED, event.millis());
-            case STORE_DOWN -> {
-                disturbed(event.millis());
-                mStore.down = true;
-                mLoop.schedule(event.millis(), () -> mStore.down = false);
-            }
+            case STORE_DOWN -> takeStoreDown(event.millis());
             case STORE_LOADS_SLOWLY -> loadSlowly(100L * event.target(), event.millis());
             default -> disturbLeader(event);
         }
     }
 
+    private void takeStoreDown(long millis) {
+        disturbed(millis);
+        mStore.down = true;
+        mLoop.schedule(millis, () -> mStore.down = false);
+    }
+
     private void loadSlowly(long loadMillis, long millis) {
         disturbed(millis);
         mStore.newestMillis = loadMillis;
