Poll sooner while a confirmed stop has to show

A stop order that its worker had confirmed and not carried out was sent again only after a poll of 1 s that began after the time for the stop, so up to 2.9 s after the cancellation, close to the bound of 3 s.

While a run has a confirmed stop, a poll waits no longer than a stop may take.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaultsTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaultsTest.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -110,7 +109,6 @@
 
     @ParameterizedTest
     @MethodSource("seedsOfLostStops")
-    @Tag("known-red")
     void noRunOfACancelledJobGoesOnWhereFirstStopsAreLost(long seed) {
         checkCancellations(seed, new RandomFaults.Variant(false, false, false, false, false, true));
     }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -781,7 +781,9 @@
         long waitMillis =
                 unresolved || silent() || mRuns.isEmpty() || mLeaseBoundStored
                         ? 0
-                        : shared ? SHARED_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS;
+                        : Math.min(
+                                shared ? SHARED_POLL_WAIT_MILLIS : POLL_WAIT_MILLIS,
+                                confirmedStopWaitMillis());
         long acknowledged = isAcknowledgementDue() ? mStoredEndNumber : 0;
         guarded(
                         () ->
@@ -797,6 +799,15 @@
                 .thenAccept(outcome -> pollAnswered(outcome, sentMillis, acknowledged));
     }
 
+    /**
+     * Returns the longest wait of a poll that shows soon whether a confirmed stop had an effect.
+     */
+    private long confirmedStopWaitMillis() {
+        return mRuns.values().stream().anyMatch(Run::isStopConfirmed)
+                ? mSupervisor.stopTimeoutMillis()
+                : Long.MAX_VALUE;
+    }
+
     /**
      * Returns whether the next poll acknowledges ends. A worker that has restarted would forget its
      * own first ends, so nothing is acknowledged twice, to a silent worker, or while an order may
