--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/StopMonitor.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/StopMonitor.java
@@ -7,7 +7,7 @@
 
 /** Measures how long stops take and reports runs that are not stopped. Runs on the loop. */
 final class StopMonitor {
-    /** Time after which a stop is overdue; workers take up to 0.9 s to end a run. */
+    /** Time after which a stop is overdue; the platforms give workers up to 0.9 s for it. */
     private static final long OVERDUE_MILLIS = 1_000;
 
     /** Minimum time between two log lines. */
@@ -72,6 +72,7 @@
 
     private static boolean isOverdue(Run run, long nowMillis) {
         return run.stoppingSinceMillis != Run.NEVER
+                && run.state != Run.State.DECIDED
                 && nowMillis - run.stoppingSinceMillis > OVERDUE_MILLIS;
     }
 
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -167,8 +167,8 @@
     STOP_WITHOUT_EFFECT(
             536,
             Level.WARN,
-            "run {} is listed {} ms after the worker confirmed the order to stop it; it is sent"
-                    + " again"),
+            "run {} is listed {} ms after the worker confirmed the order to stop it; the order"
+                    + " is sent again"),
     /** A cancellation names another queue or client account than the job. */
     CANCELLATION_IGNORED(
             537,
@@ -190,8 +190,8 @@
             "{} runs are still there over a second after they had to be stopped, {} of them on"
                     + " workers that answer polls; run {} longest, {} ms; {} stop orders were sent"
                     + " for it, the last one: {}"),
-    /** Many connections to one server are open. */
-    CONNECTIONS_MANY(543, Level.WARN, "{} connections to {} are open, {} of them idle"),
+    /** Many connections to one host are open. */
+    CONNECTIONS_MANY(543, Level.WARN, "{} connections to host {} are open, {} of them idle"),
     /** Tasks of one kind are ready to start and find no worker. */
     TASKS_WAITING(
             526,
