Check in random plays that runs of cancelled jobs end in time

RandomFaults looked at the runs of ended jobs only at the end of a play, 50 s after the last fault, and so missed a run that goes on for long and then ends with its lease or by an accident. The new rule RUN_AFTER_CANCELLATION is broken by a run of a cancelled job that goes on for more than 4.4 s while all is calm, as the users' rule has it.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
@@ -346,6 +346,7 @@
             mLoop.advance(Math.min(50, millis - passedMillis));
             mWorkers.values().forEach(SimulatedWorker::expireLeases);
             mHistory.checkAway(this::isRoomTwice);
+            mHistory.checkCancelled();
             Leader leader = mLeader;
             if (leader != null && leader.mFirstRecordMillis < 0) {
                 leader.mFirstRecordMillis =
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RunHistory.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RunHistory.java
@@ -26,6 +26,9 @@
     /** Longest time from a stored cancellation to the last start. */
     static final long CANCEL_MILLIS = 3_000;
 
+    /** How long a run of a cancelled job may go on while all is calm. */
+    static final long STOP_MILLIS = 4_400;
+
     /** Time from the end of its last run after which a task that lasts counts as away. */
     static final long AWAY_MILLIS = 6_000;
 
@@ -45,6 +48,8 @@
         START_AFTER_LAST_ATTEMPT,
         START_BEFORE_DEPENDENCY,
         START_AFTER_CANCELLATION,
+        /** A run of a cancelled job went on, and all was calm. */
+        RUN_AFTER_CANCELLATION,
         JOB_NOT_ENDED,
         JOB_FAILED_WITHOUT_CAUSE,
         TASK_NOT_RUNNING,
@@ -63,6 +68,7 @@
         private long mEndMillis = Long.MAX_VALUE;
         private @Nullable EndKind mKind;
         private boolean mAcknowledged;
+        private boolean mReportedAsCancelled;
 
         SeenRun(int attempt, String incarnation, long startMillis) {
             mAttempt = attempt;
@@ -151,6 +157,28 @@
                 });
     }
 
+    /** Checks that no run of a cancelled job goes on although all is calm. */
+    void checkCancelled() {
+        long now = mLoop.nowMillis();
+        long calmMillis = Math.max(mCalmSinceMillis, mDisturbedUntilMillis);
+        mRuns.forEach(
+                (task, runs) -> {
+                    long cancelledMillis = mCancelledMillis.getOrDefault(task.job(), now);
+                    for (SeenRun run : runs) {
+                        long sinceMillis =
+                                Math.max(Math.max(cancelledMillis, calmMillis), run.mStartMillis);
+                        if (run.mEndMillis > now
+                                && now - sinceMillis > STOP_MILLIS
+                                && !run.mReportedAsCancelled) {
+                            run.mReportedAsCancelled = true;
+                            violate(
+                                    Rule.RUN_AFTER_CANCELLATION,
+                                    task + ": " + run + ", cancelled at " + cancelledMillis);
+                        }
+                    }
+                });
+    }
+
     private void checkAway(TaskName task, boolean roomTwice) {
         long now = mLoop.nowMillis();
         if (!roomTwice) {
