Take the key of a job's account on a route that is open to all now

A job that was accepted for a client account could not be cancelled any more once the configuration had opened its route to all: the key of the request was not looked at, the DELETE was answered 410, and the job ran on. GET was answered 410 too.

For a GET or DELETE of a known job that has an account, a valid key now tells the caller's account on an open route as well. Without a key, or with one that no account holds, the job stays hidden as before.

RemovedRouteTest.aJobOfAnAccountIsCancelledWithItsKeyOnARouteThatIsOpenToAllNow failed before (410 instead of 200 queued).

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/entry/EntryNode.java
@@ -393,11 +393,39 @@
      * @return the caller's account, or why the request cannot be served
      */
     public Access authorize(QueueConfig queue, List<String> credentials) {
+        return authorize(queue.openToAll(), credentials);
+    }
+
+    /**
+     * Checks whether a caller may use a queue for a request about a job that exists already. On a
+     * queue that is open to all a key still tells the caller's account if the job has one: the job
+     * may have been accepted before the queue was opened.
+     *
+     * @param queue the queue named in the request
+     * @param job the job named in the request
+     * @param credentials values of the request's authorization header
+     * @return the caller's account, or why the request cannot be served
+     */
+    public Access authorize(QueueConfig queue, JobId job, List<String> credentials) {
+        StatusTable.Row row = mStatus.get(job);
+        if (queue.openToAll()
+                && row != null
+                && !row.account().isEmpty()
+                && !credentials.isEmpty()) {
+            Access byKey = authorize(false, credentials);
+            if (!(byKey instanceof Access.Unauthorized)) {
+                return byKey;
+            }
+        }
+        return authorize(queue, credentials);
+    }
+
+    private Access authorize(boolean openToAll, List<String> credentials) {
         ClusterConfig config = mConfig;
         Access access =
                 AccessCheck.check(
                         config == null ? AccountDirectory.NONE : config.accounts(),
-                        queue.openToAll(),
+                        openToAll,
                         credentials,
                         mOperatorFollower.ageMillis(),
                         mKeyPolicy);
