Test cancellations between pages and submissions stored under two queue names

Both tests pass on the code as it is. The first one fails if the changes are read from the end offset of the last page instead of the first (tried), the second one if a cancellation is compared by queue name only. FakeStore can answer in pages now.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeStore.java
@@ -1,6 +1,7 @@
 package org.hornbeamward.dispatch.fake;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -38,6 +39,9 @@
     /** Response time for a page of the newest records. */
     public long newestMillis = ANSWER_MILLIS;
 
+    /** Number of records in a page of the newest ones; pages are in the order of the keys. */
+    public int pageRecordCount = Integer.MAX_VALUE;
+
     /** Response time for an append whose answer is not lost. */
     public long appendMillis = ANSWER_MILLIS;
 
@@ -176,8 +180,17 @@
             newest.put(record.key(), record);
         }
         newest.values().removeIf(record -> record.value() == null);
+        List<KeyedRecord> page = new ArrayList<>(newest.values());
+        if (pageRecordCount < Integer.MAX_VALUE) {
+            page.sort(Comparator.comparing(KeyedRecord::key));
+            page.removeIf(record -> record.key().compareTo(afterKey) <= 0);
+        }
+        boolean more = page.size() > pageRecordCount;
         return completeLater(
                 newestMillis,
-                new NewestOutcome.Page(List.copyOf(newest.values()), false, records(topic).size()));
+                new NewestOutcome.Page(
+                        List.copyOf(page.subList(0, Math.min(page.size(), pageRecordCount))),
+                        more,
+                        records(topic).size()));
     }
 }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/CancelledJobTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/CancelledJobTest.java
@@ -3,11 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Arrays;
 import java.util.List;
+import org.hornbeamward.dispatch.config.QueueConfig;
 import org.hornbeamward.dispatch.job.Cancellation;
 import org.hornbeamward.dispatch.job.JobPhase;
+import org.hornbeamward.dispatch.job.JobSpec;
+import org.hornbeamward.dispatch.job.Submission;
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Topic;
 import org.hornbeamward.lib.JobId;
@@ -84,6 +88,66 @@
         assertCancelledAndStopped(1);
     }
 
+    /**
+     * Guards against a cancellation that is stored between two pages of the newest records, of
+     * which the one that would list it has been read.
+     */
+    @Test
+    void aCancellationThatIsStoredBetweenTwoPagesIsRead() {
+        Dispatcher first = startWithTaskAtWork();
+        mFixture.submit("other1", LeaderFixture.longRunning(1, 100));
+        mFixture.submit("other2", LeaderFixture.longRunning(1, 100));
+        mFixture.mLoop.advance(1_000);
+        first.close();
+        mFixture.mStore.pageRecordCount = 1;
+        mFixture.mStore.newestMillis = 500;
+        Dispatcher second = mFixture.startDispatcher(2);
+        mFixture.mLoop.advance(700);
+
+        cancel("queue", "");
+        mFixture.mLoop.advance(6_000);
+
+        assertTrue(second.isReady());
+        assertEquals(JobPhase.CANCELLED, mFixture.mPhases.get(JOB));
+        assertEquals(2, mFixture.runningCount());
+    }
+
+    /**
+     * Guards against a submission that arrives twice, the second time after its route has got
+     * another queue name, and hides the cancellation from a leader that loads the newest records.
+     */
+    @Test
+    void aSubmissionThatIsStoredAgainUnderAnotherQueueNameStaysCancelled() {
+        storeSubmission("queue");
+        mFixture.mStore
+                .records(Topic.JOBS)
+                .add(
+                        new KeyedRecord(
+                                JobKeys.cancellation(JOB),
+                                new Cancellation("queue", "", "host", "/q/").encode()));
+        storeSubmission("renamed");
+
+        mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(3_000);
+
+        assertCancelledAndStopped(0);
+    }
+
+    private void storeSubmission(String queue) {
+        Submission submission =
+                new Submission(
+                        JOB,
+                        queue,
+                        "",
+                        mFixture.mLoop.wallMillis(),
+                        new JobSpec("s", List.of(LeaderFixture.longRunning(1, 1_000)), 0, 0, 0),
+                        new QueueConfig(
+                                queue, "host", "/q/", "pool", 0, 3, 2.0, 250, false, false, 0));
+        mFixture.mStore
+                .records(Topic.JOBS)
+                .add(new KeyedRecord(JobKeys.submission(JOB), submission.encode()));
+    }
+
     /** Guards against a cancellation that the leader never reads, since its record is dropped. */
     @Test
     void aCancellationThatHasLeftTheHistoryIsFoundAmongTheNewestRecords() {
