Know an ended job until the store has removed it

An ended job ran again if the store had refused its removal and the leader later read the newest records anew, since it had lost the history of the jobs topic: the leader had forgotten the job when it sent the removal, found the submission, and took it for a new one. The refused removal was not repeated before the next leader.

The leader forgets a job once the store has confirmed the removal, and repeats one that is not confirmed after 1 s.

ProgressRemovalTest.aJobWhoseRemovalIsRefusedIsNotTakenForANewOne failed before (2 starts instead of 1).

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/ProgressRemovalTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/ProgressRemovalTest.java
@@ -89,6 +89,32 @@
         assertEquals(startedCount, mFixture.startedCount());
     }
 
+    /**
+     * Guards against an ended job that runs again: the store did not take its removal, and the
+     * leader reads the newest records anew, since it has lost the history.
+     */
+    @Test
+    void aJobWhoseRemovalIsRefusedIsNotTakenForANewOne() {
+        mFixture.startDispatcher(1);
+        JobId job = submitAndRun("job");
+        int startedCount = mFixture.startedCount();
+        mFixture.mStore.refusedTopic = Topic.JOBS;
+        mFixture.mLoop.advance(REMOVED_AFTER_MILLIS);
+        mFixture.mStore.readMillis = 400;
+        mFixture.mLoop.advance(2_000);
+        mFixture.mStore.records(Topic.JOBS).add(new KeyedRecord("other", null));
+        mFixture.mStore.dropHistory(Topic.JOBS);
+        mFixture.mLoop.advance(3_000);
+        assertEquals(startedCount, mFixture.startedCount());
+        assertNotNull(newest(Topic.JOBS).get(JobKeys.submission(job)));
+
+        mFixture.mStore.refusedTopic = null;
+        mFixture.mLoop.advance(3_000);
+
+        assertNull(newest(Topic.JOBS).get(JobKeys.submission(job)));
+        assertNull(newest(Topic.PROGRESS).get(job.value()));
+    }
+
     /** Guards against progress that is removed because its submission cannot be read at present. */
     @Test
     void theProgressOfAnUnreadableSubmissionStays() {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -100,6 +100,9 @@
      */
     private static final int MAX_JOB_REMOVALS = 1_000;
 
+    /** Delay after a removal of jobs that the store has not confirmed. */
+    private static final long REMOVAL_RETRY_DELAY_MILLIS = 1_000;
+
     /**
      * Minimum time between two searches for a better worker for the same run. Workers report loads
      * as averages over half a second; polls are answered far more often while tasks end.
@@ -143,6 +146,7 @@
 
     private boolean mAwaitingConfirmation;
     private boolean mLeaseBoundChanged;
+    private long mNextRemovalMillis = Long.MIN_VALUE;
 
     /** Whether the store holds that earlier leaders renew no more leases. */
     private boolean mEarlierGrantsEndSaved;
@@ -624,18 +628,19 @@
     }
 
     private void removeEndedJobs() {
+        if (mLoop.nowMillis() < mNextRemovalMillis) {
+            return;
+        }
         long keepMillis = 2 * mLimits.statusMillis();
         List<KeyedRecord> removed = new ArrayList<>();
-        List<JobId> removedJobs = new ArrayList<>();
-        for (Job job : new ArrayList<>(mJobs.all())) {
+        List<Job> removedJobs = new ArrayList<>();
+        for (Job job : mJobs.all()) {
             if (removedJobs.size() < MAX_JOB_REMOVALS
                     && job.committedPhase.terminal()
                     && job.liveRunCount == 0
                     && mLoop.nowMillis() - job.endedMillis > keepMillis) {
                 JobId id = job.submission.job();
-                mJobs.remove(job);
-                mStatusListener.jobRemoved(id);
-                removedJobs.add(id);
+                removedJobs.add(job);
                 removed.add(new KeyedRecord(JobKeys.submission(id), null));
                 removed.add(new KeyedRecord(JobKeys.cancellation(id), null));
             }
@@ -644,19 +649,38 @@
             removed.add(new KeyedRecord(JobKeys.cancellation(id), null));
         }
         if (!removed.isEmpty()) {
+            mNextRemovalMillis =
+                    mLoop.nowMillis() + FRESH_CONFIRMATION_MILLIS + REMOVAL_RETRY_DELAY_MILLIS;
             mStore.append(
                             Topic.JOBS,
                             removed,
                             new Store.Condition.Always(),
                             FRESH_CONFIRMATION_MILLIS)
-                    .thenAccept(
-                            outcome -> {
-                                LogEvent.JOBS_FORGOTTEN.log(removedJobs.size(), outcome);
-                                // Not before: a submission without progress would run again.
-                                if (outcome instanceof Store.AppendOutcome.Appended) {
-                                    mObsoleteProgress.addAll(removedJobs);
-                                }
-                            });
+                    .thenAccept(outcome -> removalAnswered(removedJobs, outcome));
+        }
+    }
+
+    /**
+     * Forgets jobs once the store has removed their submissions. Before, one that the leader reads
+     * anew, or a later leader finds without progress, would run again.
+     */
+    private void removalAnswered(List<Job> jobs, Store.AppendOutcome outcome) {
+        if (!mOpen) {
+            return;
+        }
+        LogEvent.JOBS_FORGOTTEN.log(jobs.size(), outcome);
+        if (!(outcome instanceof Store.AppendOutcome.Appended)) {
+            mNextRemovalMillis = mLoop.nowMillis() + REMOVAL_RETRY_DELAY_MILLIS;
+            return;
+        }
+        mNextRemovalMillis = mLoop.nowMillis();
+        for (Job job : jobs) {
+            JobId id = job.submission.job();
+            if (mJobs.get(id) == job) {
+                mJobs.remove(job);
+                mStatusListener.jobRemoved(id);
+                mObsoleteProgress.add(id);
+            }
         }
     }
 
