Log and count on what evidence a run is given up

HW512 names the epoch now, since an entry may lead more than once; HW502 the epoch, the number of runs, whose leases counted longest, how long they were taken to be and when the worker last answered; HW516 the address at which another worker has answered. hornbeamward_runs_gone counts the runs by evidence (GoneEvidence).

No decision is changed.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -632,18 +632,24 @@
 
     private void checkWorker(WorkerSession worker) {
         if (worker.silent() && !worker.runs().isEmpty() && worker.leasesLapsed()) {
-            loseWorker(worker, "its leases have lapsed and it does not answer");
+            loseWorker(
+                    worker,
+                    GoneEvidence.LEASES_LAPSED,
+                    "its leases have lapsed and it does not answer");
         } else {
             worker.repeatOrders();
         }
         mLeaseBoundChanged |= worker.isLeaseBoundDue();
     }
 
-    private void loseWorker(WorkerSession worker, String reason) {
+    private void loseWorker(WorkerSession worker, GoneEvidence evidence, String reason) {
         LogEvent.WORKER_LOST.log(
-                worker.id(), worker.incarnationStartWallMillis() + " (" + reason + ")");
+                worker.id(),
+                worker.incarnationStartWallMillis()
+                        + (" at epoch " + mEpoch + " with " + worker.runs().size() + " runs (")
+                        + (reason + "; " + worker.describeLeases() + ")"));
         for (Run run : new ArrayList<>(worker.runs())) {
-            runGone(run, reason);
+            runGone(run, evidence, reason);
         }
     }
 
@@ -866,12 +872,13 @@
                         run.task.name,
                         run.attempt,
                         run.worker.id(),
-                        run.worker.incarnationStartWallMillis());
+                        run.worker.incarnationStartWallMillis(),
+                        mEpoch);
                 mPlacementMonitor.orderSent(mLoop.nowMillis() - run.placedMillis);
                 mOrders.sent(run.worker.id());
                 run.worker.start(run);
             } else if (run.task.run == run) {
-                runGone(run, reason);
+                runGone(run, GoneEvidence.NOT_SENT, reason);
             }
         }
     }
@@ -991,8 +998,9 @@
     }
 
     @Override
-    public void runGone(Run run, String reason) {
+    public void runGone(Run run, GoneEvidence evidence, String reason) {
         LogEvent.RUN_GONE.log(run, reason);
+        mMetrics.recordRunGone(evidence.name());
         mAwayTasks.runGone(run, reason);
         mStopMonitor.runGone(run);
         detach(run);
@@ -1115,7 +1123,10 @@
     @Override
     public void addressTaken(WorkerSession worker) {
         if (mWorkers.get(worker.id()) == worker) {
-            loseWorker(worker, "another worker answers at its address");
+            loseWorker(
+                    worker,
+                    GoneEvidence.OTHER_WORKER,
+                    "another worker answers at its address " + worker.entry().address());
             mWorkers.remove(worker);
             dropLeaseBound(worker);
         }
@@ -1152,7 +1163,7 @@
                 attach(run.onLaterIncarnation(successor));
                 movedCount++;
             } else {
-                runGone(run, "its worker has restarted");
+                runGone(run, GoneEvidence.RESTARTED, "its worker has restarted");
                 endedCount++;
             }
         }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/NodeMetrics.java
@@ -38,6 +38,7 @@
     private final Counter mSubmissions;
     private final Counter mOrders;
     private final Counter mEnds;
+    private final Counter mRunsGone;
     private final Histogram mStoring;
     private final Histogram mFirstStart;
     private final Histogram mJobs;
@@ -64,6 +65,12 @@
         mSubmissions = counter("hornbeamward_submissions", "submissions by outcome", "outcome");
         mOrders = counter("hornbeamward_orders", "start orders by outcome", "outcome");
         mEnds = counter("hornbeamward_ends", "ended runs by kind", "kind");
+        mRunsGone =
+                counter(
+                        "hornbeamward_runs_gone",
+                        "runs given up without a report of their end, by what shows that they are"
+                                + " gone",
+                        "evidence");
         mStoring = histogram("hornbeamward_storing_seconds", "time to store a submission");
         mFirstStart =
                 histogram("hornbeamward_first_start_seconds", "acceptance to the first order");
@@ -271,6 +278,15 @@
         mEnds.labelValues(kind).inc();
     }
 
+    /**
+     * Counts a run that is given up without a report of its end.
+     *
+     * @param evidence name of what shows that it is gone
+     */
+    public void recordRunGone(String evidence) {
+        mRunsGone.labelValues(evidence).inc();
+    }
+
     /**
      * Records the time until a job is running.
      *
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -146,8 +146,14 @@
         /** The worker reports a new end of a run; it is acknowledged after the next commit. */
         void runEnded(WorkerSession worker, EndReport end);
 
-        /** A run is certainly no longer present, or never started, and no end was reported. */
-        void runGone(Run run, String reason);
+        /**
+         * A run is certainly no longer present, or never started, and no end was reported.
+         *
+         * @param run the run
+         * @param evidence what shows it
+         * @param reason the evidence in words
+         */
+        void runGone(Run run, GoneEvidence evidence, String reason);
 
         /** A start order was answered or has timed out. */
         void startAnswered(WorkerSession worker, String outcome);
@@ -537,10 +543,13 @@
             }
             case OrderOutcome.NotDone notDone -> {
                 pausePlacements(FAILED_START_PAUSE_MILLIS);
-                mSupervisor.runGone(run, "not started: " + notDone.reason());
+                mSupervisor.runGone(run, GoneEvidence.NOT_SENT, "not started: " + notDone.reason());
             }
             case OrderOutcome.OtherLife other -> {
-                mSupervisor.runGone(run, "another worker answered the start order");
+                mSupervisor.runGone(
+                        run,
+                        GoneEvidence.OTHER_WORKER,
+                        "another worker answered the start order at " + mEntry.address());
                 otherWorkerAnswered(sentMillis);
             }
             case OrderOutcome.Unknown unknown -> {
@@ -561,12 +570,13 @@
             case SUPERSEDED -> run.state = Run.State.UNKNOWN;
             case NO_ROOM -> {
                 pausePlacements(NO_ROOM_PAUSE_MILLIS);
-                mSupervisor.runGone(run, "no room");
+                mSupervisor.runGone(run, GoneEvidence.REJECTED, "no room");
             }
-            case LATE, NOT_APPROVED -> mSupervisor.runGone(run, "rejected: " + reason);
+            case LATE, NOT_APPROVED ->
+                    mSupervisor.runGone(run, GoneEvidence.REJECTED, "rejected: " + reason);
             case MALFORMED -> {
                 pausePlacements(FAILED_START_PAUSE_MILLIS);
-                mSupervisor.runGone(run, "the worker cannot use the order");
+                mSupervisor.runGone(run, GoneEvidence.REJECTED, "the worker cannot use the order");
             }
         }
     }
@@ -917,8 +927,9 @@
             mSupervisor.addressTaken(this);
             return;
         }
-        gone.forEach(run -> mSupervisor.runGone(run, "another worker answers at its address"));
-        pollFailed("another worker answers at its address");
+        String reason = "another worker answers at its address " + mEntry.address();
+        gone.forEach(run -> mSupervisor.runGone(run, GoneEvidence.OTHER_WORKER, reason));
+        pollFailed(reason);
     }
 
     private void pollFailed(String reason) {
@@ -960,7 +971,10 @@
                 gone.add(run);
             }
         }
-        gone.forEach(run -> mSupervisor.runGone(run, "the worker does not list it"));
+        gone.forEach(
+                run ->
+                        mSupervisor.runGone(
+                                run, GoneEvidence.NOT_LISTED, "the worker does not list it"));
     }
 
     /**
@@ -1013,6 +1027,19 @@
         return Math.max(0, leaseEndMillis() - mLoop.nowMillis());
     }
 
+    /** Describes whose leases may last longest, and when the worker last answered. */
+    String describeLeases() {
+        String grantedBy =
+                isLeaseEndInherited()
+                        ? "in other sessions, " + mInheritedLeaseMillis + " ms at most"
+                        : "in this session";
+        String answered =
+                mReached
+                        ? "last answer " + (mLoop.nowMillis() - mAnsweredMillis) + " ms ago"
+                        : "no answer in this session";
+        return "leases granted " + grantedBy + "; " + answered;
+    }
+
     /** Returns whether the leases that were granted in other sessions may last longest. */
     boolean isLeaseEndInherited() {
         return mInheritedLeaseEndMillis > grantedLeaseEndMillis();
--- a/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
+++ b/org.hornbeamward/src/org/hornbeamward/event/LogEvent.java
@@ -99,7 +99,8 @@
     /** A request was refused. */
     REQUEST_REFUSED(511, Level.INFO, "request for job {} refused with {}: {}"),
     /** A worker is ordered to start a task. */
-    TASK_ORDERED(512, Level.INFO, "task {} attempt {} ordered on worker {} incarnation {}"),
+    TASK_ORDERED(
+            512, Level.INFO, "task {} attempt {} ordered on worker {} incarnation {} at epoch {}"),
     /** A run has ended. */
     TASK_ENDED(513, Level.INFO, "task {} attempt {} on worker {} incarnation {} ended: {}"),
     /** A job reached its final phase. */
