Show a successor that starts a task again within its worker's lease

aNewLeaderWaitsForTheLongestLeaseOfAWorkerThatHasJustRestarted fails: two runs 7,320 ms after the change of leaders, where the worker may hold the lease for 10,000 ms. Known red until the fix.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -422,6 +422,37 @@
         assertEquals(1, worker("w2").started.size());
     }
 
+    /**
+     * Guards against a successor that starts a task again while its worker, which had restarted
+     * just before the change of leaders, may still hold the longest lease.
+     */
+    @Test
+    @Tag("known-red")
+    void aNewLeaderWaitsForTheLongestLeaseOfAWorkerThatHasJustRestarted() {
+        for (String name : NAMES) {
+            worker(name).longestLeaseMillis = 10_000;
+        }
+        setTaskMillis(20_000);
+        worker("w2").draining = true;
+        Dispatcher first = mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(60_000);
+        restartAll();
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        publishEntries();
+        mFixture.mLoop.advance(700);
+        assertEquals(1, worker("w1").running().size());
+        worker("w1").unreachable = true;
+        first.suspend();
+        first.close();
+        worker("w2").draining = false;
+        publishEntries();
+        long now = mFixture.mLoop.nowMillis();
+        mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 3_000));
+        advanceAndExpectOneRunWithLeases(12_000);
+        assertEquals(1, worker("w2").started.size());
+    }
+
     private void advanceAndExpectOneRunWithLeases(long millis) {
         for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
             mFixture.mLoop.advance(10);
