Hold a task back while an unknown run of it may go on

What callers may see: a task runs twice at once after its first run was given up wrongly (rule TWICE).

Cause: a leader that finds a run which it does not know stops it, and at the same time starts the waiting task elsewhere. Both run until the stop has taken effect; a stop that was lost was repeated only while other runs on that worker had it polled.

Change: if the task waits for a start, the run becomes the run of the task and is stopped like any other, with repeated orders, room counted and leases waited for. If it ends as done first, the task is done.

--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -1097,6 +1097,16 @@
     public void unknownRun(WorkerSession worker, RunReport report) {
         LogEvent.UNKNOWN_RUN.log(
                 report.task(), report.attempt(), worker.id(), worker.incarnationStartWallMillis());
+        Task task = waitingTask(report.task());
+        if (task != null) {
+            // The task must not start elsewhere before this run is certainly gone.
+            Run run = new Run(task, report.attempt(), worker, "");
+            run.paceUncertain = true;
+            attach(run);
+            worker.adopt(run);
+            mJobs.markChanged(task.step.job);
+            return;
+        }
         mControl.stop(
                         worker.entry(),
                         report.task(),
@@ -1111,6 +1121,16 @@
                         });
     }
 
+    /** Returns the task of a name if it may be placed: it is not done and has no run. */
+    private @Nullable Task waitingTask(TaskName name) {
+        Job job = mJobs.get(name.job());
+        Task task =
+                job == null || job.terminal()
+                        ? null
+                        : job.task(name.occurrence(), name.step(), name.index());
+        return task == null || task.done || task.run != null ? null : task;
+    }
+
     @Override
     public void fenced(WorkerSession worker) {
         LogEvent.WORKER_REFUSED.log(worker.id(), "the fencing token", mEpoch);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -486,6 +486,19 @@
         runsChanged();
     }
 
+    /**
+     * Takes over a run that the worker has listed although it was not known, and stops it.
+     *
+     * @param run a run that has been added
+     */
+    void adopt(Run run) {
+        run.state = Run.State.PRESENT;
+        run.listed = true;
+        run.confirmedMillis = mLoop.nowMillis();
+        run.lastSeenMillis = run.confirmedMillis;
+        stop(run);
+    }
+
     /** Removes a run that is gone and releases its resources. */
     void remove(Run run) {
         if (mRuns.remove(run.task.name, run)) {
