Keep the session of an idle worker while its leases last

Cause: WorkerRegistry removed the session of an idle worker two seconds after the removal of its entry, and the leases that the leader had granted with it. Once the entry was back, a run could start in a new session on a worker whose leases last longer than that session knows.

Change: the session stays until its leases have lapsed. An unlisted worker gets no tasks, so it only stays longer in memory.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorker.java
@@ -60,6 +60,9 @@
     /** Whether connections to the worker fail, so that calls are certainly not carried out. */
     public boolean refusesConnections;
 
+    /** Whether connections to the worker fail once it has carried out a start order. */
+    public boolean refusesConnectionsAfterStart;
+
     /** Whether start orders are refused as by an unhealthy worker; other calls are answered. */
     public boolean refusesStarts;
 
@@ -268,6 +271,7 @@
             return new OrderOutcome.Rejected(Rejection.SUPERSEDED, clockMillis());
         }
         if (mRunning.putIfAbsent(order.task(), order.attempt()) == null) {
+            refusesConnections |= refusesConnectionsAfterStart;
             started.add(order.task());
             startCheckpoints.add(order.checkpoint());
             mStartedMillis.put(order.task(), mLoop.nowMillis());
--- /dev/null
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
@@ -0,0 +1,80 @@
+package org.hornbeamward.dispatch.lead;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.hornbeamward.dispatch.fake.FakeWorker;
+import org.hornbeamward.dispatch.port.KeyedRecord;
+import org.hornbeamward.dispatch.port.Topic;
+import org.junit.jupiter.api.Test;
+
+/** Runs that a leader gives up on evidence that does not rule them out. */
+class GivenUpRunTest {
+    private final LeaderFixture mFixture = new LeaderFixture();
+    private final FakeWorker mFirst = mFixture.mWorkers.get("w1");
+    private final FakeWorker mSecond = mFixture.mWorkers.get("w2");
+
+    private void setTaskMillis(long millis) {
+        mFirst.taskMillis = millis;
+        mSecond.taskMillis = millis;
+    }
+
+    private void setLongestLeaseMillis(long millis) {
+        mFirst.longestLeaseMillis = millis;
+        mSecond.longestLeaseMillis = millis;
+    }
+
+    /** Starts a leader that places tasks only on the first worker. */
+    private Dispatcher startLeaderThatUsesTheFirstWorker(long advanceMillis) {
+        mSecond.draining = true;
+        Dispatcher leader = mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(advanceMillis);
+        return leader;
+    }
+
+    /** Has the leader place tasks on the second worker too once it has read the entry. */
+    private void offerSecondWorker() {
+        mSecond.draining = false;
+        mFixture.registerWorker("w2");
+    }
+
+    private void advanceAndExpectOneRun(long millis) {
+        for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
+            mFixture.mLoop.advance(10);
+            mFirst.expireLeases();
+            mSecond.expireLeases();
+            assertTrue(
+                    mFixture.runningCount() <= 1,
+                    mFixture.runningCount() + " runs after " + passedMillis + " ms");
+        }
+    }
+
+    /**
+     * Guards against a leader that forgets the leases that it has granted, together with the
+     * session of an idle worker whose entry is away for a moment, and starts a task elsewhere while
+     * the worker, which is then cut off, still runs it.
+     */
+    @Test
+    void theLeasesOfAWorkerWhoseEntryWasAwayForAMomentAreNotForgotten() {
+        setLongestLeaseMillis(10_000);
+        setTaskMillis(1_900);
+        startLeaderThatUsesTheFirstWorker(20_000);
+        mFixture.submit("first", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        assertEquals(1, mFirst.running().size());
+        mFixture.mStore.records(Topic.WORKERS).add(new KeyedRecord("w1", null));
+        mFixture.mLoop.advance(2_600);
+        assertEquals(1, mFirst.done.size());
+        mFixture.registerWorker("w1");
+        mFixture.mLoop.advance(500);
+
+        setTaskMillis(30_000);
+        mFirst.refusesConnectionsAfterStart = true;
+        mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        assertEquals(1, mFirst.running().size());
+        offerSecondWorker();
+        advanceAndExpectOneRun(12_000);
+        assertEquals(1, mSecond.started.size());
+    }
+}
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerRegistry.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerRegistry.java
@@ -242,7 +242,8 @@
         if (worker == null || worker.listed || !mOpen) {
             return;
         }
-        if (worker.runs().isEmpty() && !worker.isLeaseBoundStored()) {
+        // The leases would count for runs that start there later, if the entry comes back.
+        if (worker.runs().isEmpty() && !worker.isLeaseBoundStored() && worker.leasesLapsed()) {
             remove(worker);
         } else {
             scheduleRemoval(id);
