Keep runs of a later incarnation when another worker answers at the address

Cause: a new leader attaches an inherited run to the session of the worker's entry. An entry of an earlier incarnation that was written late has the address of that one.

Change: an inherited run keeps the start time of the incarnation that its leader knew. An answer at the address of an incarnation that began before does not end it; then the poll counts as failed, and the entry of the later incarnation or the leases decide.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
@@ -106,7 +106,9 @@
                                             }));
             return answer;
         }
-        if (worker.refusesConnections || !entry.address().equals(worker.address)) {
+        if (!entry.address().equals(worker.address) && isAddressOfAnother(entry)) {
+            mLoop.schedule(ANSWER_MILLIS, () -> answer.complete(addressTakenOutcome));
+        } else if (worker.refusesConnections || !entry.address().equals(worker.address)) {
             mLoop.schedule(CONNECT_MILLIS, () -> answer.complete(notConnectedOutcome));
         } else if (worker.unreachable) {
             mLoop.schedule(timeoutMillis, () -> answer.complete(unreachableOutcome));
@@ -118,6 +120,11 @@
         return answer;
     }
 
+    private boolean isAddressOfAnother(WorkerEntry entry) {
+        return mWorkers.values().stream()
+                .anyMatch(worker -> worker.address.equals(entry.address()));
+    }
+
     private static <T> CompletableFuture<T> completed(T value) {
         return CompletableFuture.completedFuture(value);
     }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
@@ -3,9 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import org.hornbeamward.dispatch.fake.FakeWorker;
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Topic;
+import org.hornbeamward.dispatch.port.WorkerEntry;
 import org.junit.jupiter.api.Test;
 
 /** Runs that a leader gives up on evidence that does not rule them out. */
@@ -38,6 +40,13 @@
         mFixture.registerWorker("w2");
     }
 
+    /** Ends a leader that has led for seconds, and starts one that knows that it has stopped. */
+    private void replace(Dispatcher leader) {
+        leader.close();
+        long now = mFixture.mLoop.nowMillis();
+        mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 300));
+    }
+
     private void advanceAndExpectOneRun(long millis) {
         for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
             mFixture.mLoop.advance(10);
@@ -77,4 +86,32 @@
         advanceAndExpectOneRun(12_000);
         assertEquals(1, mSecond.started.size());
     }
+
+    /**
+     * Guards against a new leader that gives up a run because another worker answers at an address
+     * that the run's worker had in an earlier incarnation. That one's entry was written late.
+     */
+    @Test
+    void aRunOnALaterIncarnationIsNotGivenUpByAnAnswerAtTheAddressOfAnEarlierOne() {
+        setTaskMillis(5_000);
+        WorkerEntry earlier = mFirst.entry();
+        Dispatcher leader = startLeaderThatUsesTheFirstWorker(300);
+        mFirst.restart();
+        mFirst.address = "elsewhere";
+        mFixture.registerWorker("w1");
+        mFixture.mWorkers.add("w3", 4_000).address = "w1";
+        mFixture.mLoop.advance(1_000);
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(500);
+        assertEquals(1, mFirst.running().size());
+
+        mFixture.registerOddEntry(earlier);
+        mSecond.draining = false;
+        replace(leader);
+        advanceAndExpectOneRun(1_000);
+        mFixture.registerWorker("w1");
+        advanceAndExpectOneRun(8_000);
+        assertEquals(List.of(), mSecond.started);
+        assertEquals(1, mFirst.done.size());
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -561,6 +561,7 @@
         }
         Run run = new Run(live.task(), live.attempt(), worker, "");
         run.state = Run.State.INHERITED;
+        run.inheritedIncarnationStartWallMillis = live.incarnationStartWallMillis();
         run.resumed = true;
         run.paceUncertain = true;
         attach(run);
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -52,6 +52,12 @@
      */
     public final long placedMillis;
 
+    /**
+     * Start time of the worker's incarnation that the previous leader knew when it placed the run;
+     * 0 for a run that this leader has placed.
+     */
+    public long inheritedIncarnationStartWallMillis;
+
     /** Monotonic time at which the worker first confirmed that the run is present. */
     public long confirmedMillis;
 
@@ -167,6 +173,16 @@
         return orderedWithoutContact && (state == State.ORDERED || state == State.UNKNOWN);
     }
 
+    /**
+     * Returns whether the previous leader has ordered the run from an incarnation of the worker
+     * that began after another one, and this leader has not seen it yet.
+     *
+     * @param startWallMillis start time of the other incarnation
+     */
+    boolean mayBeOnIncarnationAfter(long startWallMillis) {
+        return state == State.INHERITED && inheritedIncarnationStartWallMillis > startWallMillis;
+    }
+
     /** Returns whether the worker has answered the last stop order. */
     boolean isStopConfirmed() {
         return stopConfirmedMillis != Long.MAX_VALUE;
@@ -182,6 +198,7 @@
         run.stopping = stopping || run.state == State.UNKNOWN;
         run.stoppingSinceMillis = stoppingSinceMillis;
         run.resumed = resumed;
+        run.inheritedIncarnationStartWallMillis = inheritedIncarnationStartWallMillis;
         run.pacePercent = pacePercent;
         run.paceUncertain = true;
         return run;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -903,12 +903,15 @@
     /**
      * Gives up the runs that another worker's answer at the address rules out. The answer says
      * nothing about orders in flight, nor about runs that were confirmed after the call was sent:
-     * answers overtake each other, and the worker may have restarted meanwhile.
+     * answers overtake each other, and the worker may have restarted meanwhile. It also says
+     * nothing about runs of an incarnation that began after the session's, since that one may have
+     * another address.
      */
     private void otherWorkerAnswered(long sentMillis) {
         List<Run> gone = new ArrayList<>();
         for (Run run : mRuns.values()) {
             if (run.state != Run.State.ORDERED
+                    && !run.mayBeOnIncarnationAfter(mIncarnationStartWallMillis)
                     && (run.state != Run.State.PRESENT || run.confirmedMillis < sentMillis)) {
                 gone.add(run);
             }
