Keep runs that were ordered after a call that another worker answered

Cause: an answer of another worker (421) may arrive more than a second after its call was sent, with a poll. A run that was ordered meanwhile, whose order got no answer, was given up by it, although the worker had restarted at the address and accepted the run (rule TWICE). Only runs that the worker had confirmed were protected.

Change: the answer ends only runs that were ordered before its call was sent.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
@@ -47,6 +47,14 @@
         mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 300));
     }
 
+    /** Advances the clock by single milliseconds until a worker has received one more poll. */
+    private void advanceToNextPoll() {
+        int pollCount = mFixture.mWorkers.pollCount;
+        while (mFixture.mWorkers.pollCount == pollCount) {
+            mFixture.mLoop.advance(1);
+        }
+    }
+
     private void advanceAndExpectOneRun(long millis) {
         for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
             mFixture.mLoop.advance(10);
@@ -114,4 +122,37 @@
         assertEquals(List.of(), mSecond.started);
         assertEquals(1, mFirst.done.size());
     }
+
+    /**
+     * Guards against an answer of another worker at the address that is overtaken by a restart of
+     * the worker, so that a run is given up that was ordered after that answer, and whose order got
+     * none.
+     */
+    @Test
+    void aDelayedAnswerOfAnotherWorkerDoesNotEndARunWhoseLaterOrderGotNoAnswer() {
+        setTaskMillis(20_000);
+        startLeaderThatUsesTheFirstWorker(10_000);
+        mFixture.submit("first", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(500);
+        mFirst.addressTaken = true;
+        mFirst.addressTakenMillis = 1_500;
+        advanceToNextPoll();
+        mFirst.addressTaken = false;
+        mFirst.restart();
+
+        mFirst.startDelayMillis = 10;
+        mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        assertEquals(1, mFirst.running().size());
+        mFirst.unreachable = true;
+        mSecond.draining = false;
+        mFixture.registerWorker("w2");
+        for (long passedMillis = 0; passedMillis < 4_000; passedMillis += 10) {
+            mFixture.mLoop.advance(10);
+            mFirst.expireLeases();
+            assertTrue(
+                    mFirst.running().isEmpty() || !mSecond.running().containsAll(mFirst.running()),
+                    "two runs after " + passedMillis + " ms");
+        }
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -52,6 +52,9 @@
      */
     public final long placedMillis;
 
+    /** Monotonic time at which this leader sent the start order; {@link #NEVER} if it did not. */
+    public long orderSentMillis = NEVER;
+
     /**
      * Start time of the worker's incarnation that the previous leader knew when it placed the run;
      * 0 for a run that this leader has placed.
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -467,6 +467,7 @@
         mLeaseDeadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, deadlineClockMillis);
         long sentMillis = mLoop.nowMillis();
         mLeaseSentMillis = sentMillis;
+        run.orderSentMillis = sentMillis;
         run.state = Run.State.ORDERED;
         // A poll in flight would fail when the worker ends.
         run.orderedWithoutContact = !mPollInFlight && !hasJustAnswered();
@@ -902,15 +903,16 @@
 
     /**
      * Gives up the runs that another worker's answer at the address rules out. The answer says
-     * nothing about orders in flight, nor about runs that were confirmed after the call was sent:
-     * answers overtake each other, and the worker may have restarted meanwhile. It also says
-     * nothing about runs of an incarnation that began after the session's, since that one may have
-     * another address.
+     * nothing about orders in flight, nor about runs that were ordered or confirmed after the call
+     * was sent: answers overtake each other, and the worker may have restarted meanwhile. It also
+     * says nothing about runs of an incarnation that began after the session's, since that one may
+     * have another address.
      */
     private void otherWorkerAnswered(long sentMillis) {
         List<Run> gone = new ArrayList<>();
         for (Run run : mRuns.values()) {
             if (run.state != Run.State.ORDERED
+                    && run.orderSentMillis < sentMillis
                     && !run.mayBeOnIncarnationAfter(mIncarnationStartWallMillis)
                     && (run.state != Run.State.PRESENT || run.confirmedMillis < sentMillis)) {
                 gone.add(run);
