Wait for the stop of a run that has moved to a later incarnation

Cause: a run that is being stopped may be listed neither as running nor as ended. That was allowed for while its session lasted, but not once the run had moved to the session with a later incarnation: the first poll that did not list it counted as its end (rule TWICE, for at most the time that a stop takes).

Change: such a run is gone once its stop has been confirmed for the time that a stop takes, as with runs that are present.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
@@ -47,6 +47,21 @@
         mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 300));
     }
 
+    private static WorkerEntry asDraining(WorkerEntry entry) {
+        return new WorkerEntry(
+                entry.id(),
+                entry.incarnationStartWallMillis(),
+                entry.pool(),
+                entry.address(),
+                entry.domain(),
+                entry.rack(),
+                entry.labels(),
+                entry.capacity(),
+                true,
+                entry.drainLeftMillis(),
+                entry.clockMillis());
+    }
+
     /** Advances the clock by single milliseconds until a worker has received one more poll. */
     private void advanceToNextPoll() {
         int pollCount = mFixture.mWorkers.pollCount;
@@ -155,4 +170,34 @@
                     "two runs after " + passedMillis + " ms");
         }
     }
+
+    /**
+     * Guards against a run that is taken for gone while a stop order takes effect: its worker lists
+     * it neither as running nor as ended, and a poll has just shown that the worker has restarted.
+     */
+    @Test
+    void aRunThatIsBeingStoppedOnALaterIncarnationIsNotStartedElsewhereBeforeItHasEnded() {
+        for (long offsetMillis = 0; offsetMillis < 600; offsetMillis += 20) {
+            GivenUpRunTest test = new GivenUpRunTest();
+            test.stopOnALaterIncarnation(offsetMillis);
+        }
+    }
+
+    private void stopOnALaterIncarnation(long offsetMillis) {
+        setTaskMillis(60_000);
+        startLeaderThatUsesTheFirstWorker(10_000);
+        WorkerEntry ended = mFirst.entry();
+        mFirst.restart();
+        mFirst.stopMillis = 180;
+        mFirst.refusesConnectionsAfterStart = true;
+        mFixture.submit("job", LeaderFixture.longRunning(1, 1_000));
+        mFixture.mLoop.advance(1_000);
+        assertEquals(1, mFirst.running().size());
+        mFixture.registerOddEntry(asDraining(ended));
+        offerSecondWorker();
+        mFixture.mLoop.advance(600 + offsetMillis);
+        mFirst.refusesConnections = false;
+        advanceAndExpectOneRun(1_500);
+        assertEquals(1, mSecond.started.size());
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -992,7 +992,7 @@
                             || Math.max(run.orderExpiresAtMillis, run.stopSentMillis)
                                     < sentMillis - stopTimeoutMillis();
             // The poll's fencing token makes the worker refuse orders of the previous leader.
-            case INHERITED -> true;
+            case INHERITED -> !run.stopping || hasStopped(run, sentMillis);
         };
     }
 
