Keep runs that were listed in a session without a start time

Cause: an entry of another writer may lack the start time (born) and stand under the id of a worker. A new leader that read it first had a session without a start time, which takes every incarnation for its own.

Change: a run counts as listed by the session's incarnation only if the answer has its start time.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/OddWorkerEntryTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/OddWorkerEntryTest.java
@@ -128,4 +128,50 @@
 
         assertEquals(JobPhase.COMPLETED, mFixture.mPhases.get(job));
     }
+
+    /** Advances the clock and checks that no more tasks run than the job has. */
+    private void advanceAndExpectOneRun(long millis) {
+        for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
+            mFixture.mLoop.advance(10);
+            assertTrue(mFixture.runningCount() <= 1, "two runs after " + passedMillis + " ms");
+        }
+    }
+
+    /** Starts a task on the first worker, the others go to the second; returns the leader. */
+    private Dispatcher startTaskOnTheFirstWorker() {
+        mFirst.taskMillis = 10_000;
+        mSecond.taskMillis = 10_000;
+        mSecond.draining = true;
+        Dispatcher dispatcher = mFixture.startDispatcher(1);
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(3_000);
+        assertEquals(1, mFirst.running().size());
+        mFirst.draining = true;
+        mSecond.draining = false;
+        mFixture.registerWorker("w1");
+        mFixture.registerWorker("w2");
+        mFixture.mLoop.advance(1_000);
+        return dispatcher;
+    }
+
+    private void replace(Dispatcher leader) {
+        leader.close();
+        long now = mFixture.mLoop.nowMillis();
+        mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 2_000));
+    }
+
+    /**
+     * Guards against a new leader that reads an entry without a start time first, and gives up a
+     * run that it has seen on the worker once the worker's own entry follows.
+     */
+    @Test
+    void anEntryWithoutAStartTimeThatANewLeaderReadsFirstEndsNoRun() {
+        Dispatcher leader = startTaskOnTheFirstWorker();
+        mFixture.registerOddEntry(oddEntry(mFirst.entry(), 0, mFirst.address));
+        replace(leader);
+        advanceAndExpectOneRun(1_000);
+        mFixture.registerWorker("w1");
+        advanceAndExpectOneRun(9_000);
+        assertEquals(1, mFixture.startedCount());
+    }
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -943,7 +943,9 @@
                 continue;
             }
             present.add(report.task());
-            run.listed = true;
+            // An answer without a start time may be that of a later incarnation, and so may be one
+            // to a session whose entry had none.
+            run.listed = seen.incarnationStartWallMillis() == mIncarnationStartWallMillis;
             run.reportedProgressPercent = report.percent();
             run.reportedLoad = report.load();
             run.task.checkpoint.offer(report.checkpoint(), report.attempt(), report.percent());
