Wait for a stop of the former leader before an inherited run counts as gone

Cause: a worker may list a run that is being stopped neither as running nor as ended. Section 6.1 of docs/design-platform.md names the case as open.

Change: an inherited run that is not listed is gone only if the poll was sent the time for a stop after the first answered poll, whose token makes the worker refuse further orders of the former leader.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
@@ -171,6 +171,29 @@
         }
     }
 
+    /**
+     * Guards against a new leader that takes a run that its predecessor is stopping for gone, since
+     * the worker lists it neither as running nor as ended meanwhile.
+     */
+    @Test
+    void aRunThatTheFormerLeaderIsStoppingIsNotStartedElsewhereBeforeItHasEnded() {
+        setTaskMillis(60_000);
+        Dispatcher leader = startLeaderThatUsesTheFirstWorker(300);
+        mFixture.submit("job", LeaderFixture.longRunning(1, 1_000));
+        mFixture.mLoop.advance(3_000);
+        assertEquals(1, mFirst.running().size());
+        mFirst.stopMillis = 180;
+        mFirst.draining = true;
+        mFixture.registerWorker("w1");
+        offerSecondWorker();
+        while (mFirst.stopCount == 0) {
+            mFixture.mLoop.advance(1);
+        }
+        replace(leader);
+        advanceAndExpectOneRun(3_000);
+        assertEquals(1, mSecond.running().size());
+    }
+
     /**
      * Guards against a run that is taken for gone while a stop order takes effect: its worker lists
      * it neither as running nor as ended, and a poll has just shown that the worker has restarted.
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -259,6 +259,9 @@
     /** Whether a poll has been answered. */
     private boolean mReached;
 
+    /** Monotonic time at which a poll was first answered. */
+    private long mReachedMillis = Long.MAX_VALUE;
+
     /** Whether a decision waits for the answer to a poll. */
     private boolean mAsked;
 
@@ -994,7 +997,11 @@
                             || Math.max(run.orderExpiresAtMillis, run.stopSentMillis)
                                     < sentMillis - stopTimeoutMillis();
             // The poll's fencing token makes the worker refuse orders of the previous leader.
-            case INHERITED -> !run.stopping || hasStopped(run, sentMillis);
+            // A stop order of that one may just be taking effect.
+            case INHERITED ->
+                    run.stopping
+                            ? hasStopped(run, sentMillis)
+                            : mReachedMillis < sentMillis - stopTimeoutMillis();
         };
     }
 
@@ -1137,6 +1144,7 @@
     private void noteReached() {
         if (!mReached) {
             mReached = true;
+            mReachedMillis = mLoop.nowMillis();
             mInheritedLeaseEndMillis =
                     Math.min(
                             mInheritedLeaseEndMillis,
