Add a failing test of an order after a restart that forgets the token

GivenUpRunTest.aStartOfTheFormerLeaderIsNotCarriedOutByAWorkerThatHasForgottenTheToken: two runs. The order is carried out in time, before its call has ended, and the worker, on which the new leader knows no run, is not polled again.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
@@ -8,6 +8,7 @@
 import org.hornbeamward.dispatch.port.KeyedRecord;
 import org.hornbeamward.dispatch.port.Topic;
 import org.hornbeamward.dispatch.port.WorkerEntry;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Runs that a leader gives up on evidence that does not rule them out. */
@@ -194,6 +195,31 @@
         assertEquals(1, mSecond.running().size());
     }
 
+    /**
+     * Guards against a start order of the former leader that a worker carries out in time, but
+     * after it has restarted and so has forgotten the fencing token of the new leader. That one
+     * gave up the run on account of the worker's list, and does not look at an idle worker again.
+     */
+    @Test
+    @Tag("known-red")
+    void aStartOfTheFormerLeaderIsNotCarriedOutByAWorkerThatHasForgottenTheToken() {
+        setTaskMillis(10_000);
+        Dispatcher leader = startLeaderThatUsesTheFirstWorker(10_000);
+        mFirst.startDelayMillis = 800;
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(50);
+        mFirst.draining = true;
+        mSecond.draining = false;
+        replace(leader);
+        mFirst.startDelayMillis = 0;
+        mFixture.mLoop.advance(400);
+        assertEquals(1, mSecond.started.size());
+        mFirst.restart();
+        mFirst.draining = false;
+        mFixture.registerWorker("w1");
+        advanceAndExpectOneRun(5_000);
+    }
+
     /**
      * Guards against a run that is taken for gone while a stop order takes effect: its worker lists
      * it neither as running nor as ended, and a poll has just shown that the worker has restarted.
