Add a failing test of a start beside a poll that gets no answer

WorkerSession.start takes a poll in flight for contact, since it would fail when the worker ends; behind a cut link it does not.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
@@ -220,6 +220,42 @@
         advanceAndExpectOneRun(5_000);
     }
 
+    /**
+     * Guards against a second run of a task while a worker that restarted during a poll, which got
+     * no answer, holds its longest lease. A poll in flight does not fail at once if the link to the
+     * worker is cut.
+     */
+    @Test
+    @Tag("known-red")
+    void aStartDuringAPollWithoutAnAnswerMayGiveARestartedWorkerItsLongestLease() {
+        setLongestLeaseMillis(10_000);
+        setTaskMillis(60_000);
+        startLeaderThatUsesTheFirstWorker(20_000);
+        mFixture.submit("first", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(2_000);
+        assertEquals(1, mFirst.running().size());
+        mFirst.pollDelayMillis = 60_000;
+        advanceToNextPoll();
+        mFixture.mLoop.advance(1_000);
+        mFirst.restart();
+
+        mFirst.startDelayMillis = 10;
+        mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        assertEquals(1, mFirst.running().size());
+        mFirst.unreachable = true;
+        mFirst.startDelayMillis = 0;
+        mFirst.pollDelayMillis = 0;
+        offerSecondWorker();
+        for (long passedMillis = 0; passedMillis < 14_000; passedMillis += 10) {
+            mFixture.mLoop.advance(10);
+            mFirst.expireLeases();
+            assertTrue(
+                    mFirst.running().isEmpty() || !mSecond.running().containsAll(mFirst.running()),
+                    "two runs after " + passedMillis + " ms");
+        }
+    }
+
     /**
      * Guards against a run that is taken for gone while a stop order takes effect: its worker lists
      * it neither as running nor as ended, and a poll has just shown that the worker has restarted.
