Add a failing test of the leases of a worker that restarted unnoticed

The successor assumes the longest lease only if the entry shows another incarnation than the record of the run.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/GivenUpRunTest.java
@@ -256,6 +256,32 @@
         }
     }
 
+    /**
+     * Guards against a second run of a task while a worker that restarted unnoticed, and accepted
+     * the task from the former leader, holds its longest lease: the order's deadline was a time on
+     * the clock of the ended incarnation.
+     */
+    @Test
+    @Tag("known-red")
+    void aNewLeaderWaitsForTheLongestLeaseOfAWorkerThatRestartedUnnoticed() {
+        setLongestLeaseMillis(10_000);
+        setTaskMillis(60_000);
+        Dispatcher leader = startLeaderThatUsesTheFirstWorker(20_000);
+        WorkerEntry ended = mFirst.entry();
+        mFirst.restart();
+        mFirst.pollDelayMillis = 60_000;
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(50);
+        assertEquals(1, mFirst.running().size());
+        mFirst.pollDelayMillis = 0;
+        mFirst.unreachable = true;
+        mFixture.registerOddEntry(ended);
+        mSecond.draining = false;
+        replace(leader);
+        advanceAndExpectOneRun(14_000);
+        assertEquals(1, mSecond.started.size());
+    }
+
     /**
      * Guards against a run that is taken for gone while a stop order takes effect: its worker lists
      * it neither as running nor as ended, and a poll has just shown that the worker has restarted.
