Add a failing test of an entry with a later start time

Section 6.1 of docs/design-platform.md says that such an entry cannot be told from a restart; a poll before the runs are given up would tell.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/OddWorkerEntryTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/OddWorkerEntryTest.java
@@ -8,6 +8,7 @@
 import org.hornbeamward.dispatch.job.JobPhase;
 import org.hornbeamward.dispatch.port.WorkerEntry;
 import org.hornbeamward.lib.JobId;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Entries of another writer that can be decoded and stand under the id of a worker. */
@@ -174,4 +175,15 @@
         advanceAndExpectOneRun(9_000);
         assertEquals(1, mFixture.startedCount());
     }
+
+    /** Guards against an entry that ends runs since its start time is a little later. */
+    @Test
+    @Tag("known-red")
+    void anEntryWithALaterStartTimeDoesNotEndRunsOfAWorkerThatAnswers() {
+        startTaskOnTheFirstWorker();
+        long laterMillis = mFixture.mLoop.wallMillis();
+        mFixture.registerOddEntry(oddEntry(mFirst.entry(), laterMillis, mFirst.address));
+        advanceAndExpectOneRun(9_000);
+        assertEquals(1, mFixture.startedCount());
+    }
 }
