Add a failing test of an entry with another worker's address

The check of WorkerRegistry.plausible needs an answer of the worker, which a new leader does not have yet.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/OddWorkerEntryTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/OddWorkerEntryTest.java
@@ -186,4 +186,21 @@
         advanceAndExpectOneRun(9_000);
         assertEquals(1, mFixture.startedCount());
     }
+
+    /**
+     * Guards against a new leader that gives up the runs of a worker because another one answers at
+     * the address in an odd entry.
+     */
+    @Test
+    @Tag("known-red")
+    void anEntryWithTheAddressOfAnotherWorkerDoesNotEndTheRunsThatANewLeaderInherits() {
+        Dispatcher leader = startTaskOnTheFirstWorker();
+        WorkerEntry entry = mFirst.entry();
+        mFixture.registerOddEntry(oddEntry(entry, entry.incarnationStartWallMillis(), "w2"));
+        replace(leader);
+        advanceAndExpectOneRun(1_000);
+        mFixture.registerWorker("w1");
+        advanceAndExpectOneRun(9_000);
+        assertEquals(1, mFixture.startedCount());
+    }
 }
