--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -556,14 +556,13 @@
         if (worker == null) {
             worker = mWorkers.addUnlisted(live.worker(), live.incarnationStartWallMillis());
         }
-        if (worker.incarnationStartWallMillis() != live.incarnationStartWallMillis()) {
-            worker.inheritLongestLeases(
-                    live.incarnationStartWallMillis(),
-                    mEarlierGrantsEndMillis,
-                    mLimits.longestLeaseMillis());
+        if (live.mayHoldLongestLease()
+                || worker.incarnationStartWallMillis() != live.incarnationStartWallMillis()) {
+            worker.inheritLongestLease(mEarlierGrantsEndMillis, mLimits.longestLeaseMillis());
         }
         Run run = new Run(live.task(), live.attempt(), worker, "");
         run.state = Run.State.INHERITED;
+        run.inheritedIncarnationStartWallMillis = live.incarnationStartWallMillis();
         run.resumed = true;
         run.paceUncertain = true;
         attach(run);
@@ -1198,10 +1197,8 @@
                 movedCount);
         // The deadlines of orders for the earlier incarnation lie far ahead on the clock of the
         // later one, which shortens the leases to the longest that it grants.
-        successor.inheritLongestLeases(
-                ended.leasingIncarnationStartWallMillis(),
-                Math.max(mLoop.nowMillis(), mEarlierGrantsEndMillis),
-                mLimits.longestLeaseMillis());
+        successor.inheritLongestLease(
+                Math.max(mLoop.nowMillis(), mEarlierGrantsEndMillis), mLimits.longestLeaseMillis());
         successor.repeatOrders();
     }
 
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/ProgressCodec.java
@@ -29,11 +29,17 @@
      * @param task task that it runs
      * @param attempt number of the run
      * @param worker worker that received the start order
-     * @param incarnationStartWallMillis start time of the worker's incarnation that the deadlines
-     *     of its leases were meant for; if it is not the present one, the worker may hold its
-     *     longest lease
+     * @param incarnationStartWallMillis start time of the worker's incarnation that received the
+     *     order
+     * @param mayHoldLongestLease whether the worker had restarted shortly before, so that deadlines
+     *     on an earlier clock may have given it its longest lease
      */
-    record LiveRun(Task task, int attempt, WorkerId worker, long incarnationStartWallMillis) {}
+    record LiveRun(
+            Task task,
+            int attempt,
+            WorkerId worker,
+            long incarnationStartWallMillis,
+            boolean mayHoldLongestLease) {}
 
     static byte[] encode(Job job) {
         List<Task> tasks = new ArrayList<>();
@@ -64,13 +70,23 @@
         if (run != null) {
             writer.integer(run.attempt)
                     .text(run.worker.id())
-                    .integer(run.worker.leasingIncarnationStartWallMillis());
+                    .integer(storedIncarnation(run.worker));
         }
         if (countsGang) {
             writer.integer(task.lastFailedAttempt);
         }
     }
 
+    /**
+     * Returns the start time of a worker's incarnation, negated while the worker may hold its
+     * longest lease. Earlier builds take that for another incarnation and count with the longest
+     * lease too.
+     */
+    private static long storedIncarnation(WorkerSession worker) {
+        long startWallMillis = worker.incarnationStartWallMillis();
+        return worker.mayHoldLongestLease() ? -startWallMillis : startWallMillis;
+    }
+
     /**
      * Decodes progress into a job that has none yet. A job whose cancellation is known stays
      * cancelled unless the progress has a final phase, also if the rest of it is malformed.
@@ -115,7 +131,9 @@
         task.checkpoint.restore(reader.text());
         if (fieldCount >= TASK_FIELD_COUNT + RUN_FIELD_COUNT) {
             int attempt = reader.int32();
-            live.add(new LiveRun(task, attempt, reader.worker(), reader.integer()));
+            WorkerId worker = reader.worker();
+            long stored = reader.integer();
+            live.add(new LiveRun(task, attempt, worker, Math.abs(stored), stored < 0));
             fieldCount -= RUN_FIELD_COUNT;
         }
         if (fieldCount > TASK_FIELD_COUNT) {
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -258,10 +258,10 @@
     private long mInheritedLeaseMillis;
 
     /**
-     * Start time of the incarnation whose clock the deadlines were on that may have given this one
-     * its longest lease; its own if there were none.
+     * Whether the leases that were granted in other sessions had deadlines on the clock of another
+     * incarnation.
      */
-    private long mLeasingIncarnationStartWallMillis;
+    private boolean mInheritsOtherClock;
 
     /** Whether a lease bound may be stored, so that no lease may be renewed. */
     private boolean mLeaseBoundStored;
@@ -271,6 +271,9 @@
     /** Whether a poll has been answered. */
     private boolean mReached;
 
+    /** Monotonic time at which a poll was first answered. */
+    private long mReachedMillis = Long.MAX_VALUE;
+
     /** Whether a decision waits for the answer to a poll. */
     private boolean mAsked;
 
@@ -281,7 +284,6 @@
         mEntry = entry;
         mId = entry.id();
         mIncarnationStartWallMillis = entry.incarnationStartWallMillis();
-        mLeasingIncarnationStartWallMillis = mIncarnationStartWallMillis;
         mClockReadingMillis = entry.clockMillis();
         mClockReadAtMillis = loop.nowMillis();
     }
@@ -445,26 +447,20 @@
      * Sets that the worker may hold its longest lease, since it has restarted: a deadline on the
      * clock of another incarnation may lie far ahead on its own.
      *
-     * @param leasingIncarnationStartWallMillis start time of the incarnation that the deadlines
-     *     were meant for
      * @param grantedUntilMillis monotonic time after which none was granted
      * @param longestMillis longest lease that the worker grants
      */
-    void inheritLongestLeases(
-            long leasingIncarnationStartWallMillis, long grantedUntilMillis, long longestMillis) {
+    void inheritLongestLease(long grantedUntilMillis, long longestMillis) {
         inheritLeases(grantedUntilMillis, longestMillis);
-        mLeasingIncarnationStartWallMillis = leasingIncarnationStartWallMillis;
+        mInheritsOtherClock = true;
     }
 
     /**
-     * Returns the incarnation to store with a run. As long as deadlines for another incarnation may
-     * have given the worker its longest lease it is that one, so that a successor counts with the
-     * longest lease too.
+     * Returns whether the worker may hold its longest lease since it has restarted, so that a
+     * successor has to count with it too.
      */
-    long leasingIncarnationStartWallMillis() {
-        return mLoop.nowMillis() <= mInheritedLeaseEndMillis
-                ? mLeasingIncarnationStartWallMillis
-                : mIncarnationStartWallMillis;
+    boolean mayHoldLongestLease() {
+        return mInheritsOtherClock && mLoop.nowMillis() <= mInheritedLeaseEndMillis;
     }
 
     /**
@@ -518,6 +514,7 @@
         mLeaseDeadlineClockMillis = Math.max(mLeaseDeadlineClockMillis, deadlineClockMillis);
         long sentMillis = mLoop.nowMillis();
         mLeaseSentMillis = sentMillis;
+        run.orderSentMillis = sentMillis;
         run.state = Run.State.ORDERED;
         // A poll in flight would fail when the worker ends.
         run.orderedWithoutContact = !mPollInFlight && !hasJustAnswered();
@@ -957,13 +954,17 @@
 
     /**
      * Gives up the runs that another worker's answer at the address rules out. The answer says
-     * nothing about orders in flight, nor about runs that were confirmed after the call was sent:
-     * answers overtake each other, and the worker may have restarted meanwhile.
+     * nothing about orders in flight, nor about runs that were ordered or confirmed after the call
+     * was sent: answers overtake each other, and the worker may have restarted meanwhile. It also
+     * says nothing about runs of an incarnation that began after the session's, since that one may
+     * have another address.
      */
     private void otherWorkerAnswered(long sentMillis) {
         List<Run> gone = new ArrayList<>();
         for (Run run : mRuns.values()) {
             if (run.state != Run.State.ORDERED
+                    && run.orderSentMillis < sentMillis
+                    && !run.mayBeOnIncarnationAfter(mIncarnationStartWallMillis)
                     && (run.state != Run.State.PRESENT || run.confirmedMillis < sentMillis)) {
                 gone.add(run);
             }
@@ -994,7 +995,9 @@
                 continue;
             }
             present.add(report.task());
-            run.listed = true;
+            // An answer without a start time may be that of a later incarnation, and so may be one
+            // to a session whose entry had none.
+            run.listed = seen.incarnationStartWallMillis() == mIncarnationStartWallMillis;
             run.reportedProgressPercent = report.percent();
             run.reportedLoad = report.load();
             run.task.checkpoint.offer(report.checkpoint(), report.attempt(), report.percent());
@@ -1046,7 +1049,11 @@
                             || Math.max(run.orderExpiresAtMillis, run.stopSentMillis)
                                     < sentMillis - stopTimeoutMillis();
             // The poll's fencing token makes the worker refuse orders of the previous leader.
-            case INHERITED -> true;
+            // A stop order of that one may just be taking effect.
+            case INHERITED ->
+                    run.stopping
+                            ? hasStopped(run, sentMillis)
+                            : mReachedMillis < sentMillis - stopTimeoutMillis();
         };
     }
 
@@ -1202,6 +1209,7 @@
     private void noteReached() {
         if (!mReached) {
             mReached = true;
+            mReachedMillis = mLoop.nowMillis();
             mInheritedLeaseEndMillis =
                     Math.min(
                             mInheritedLeaseEndMillis,
