Give up the calls in flight of a leader that has ended

Cause: a leader that had resigned left its calls in flight for up to their time-outs. Resetting timed-out calls does not cover the time until then.

Change: closing the dispatcher resets the connections of its calls to workers, after the resignation is stored and before a successor can have loaded. Calls to the store are not touched.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/StoppingLeaderTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/StoppingLeaderTest.java
@@ -157,6 +157,20 @@
         assertTrue(hasResigned());
     }
 
+    /**
+     * Guards against orders of a leader that has resigned that take effect after its successor has
+     * given their runs up.
+     */
+    @Test
+    void aLeaderThatHasResignedGivesUpItsCallsInFlight() {
+        mNode.stop();
+        mLoop.advance(2);
+        assertEquals(0, mWorkers.abandonCount);
+        mLoop.advance(48);
+        assertTrue(hasResigned());
+        assertEquals(1, mWorkers.abandonCount);
+    }
+
     /**
      * Guards against leases that lapse because their leader was told to stop while nobody could
      * succeed it: on a day with an outage of the store 1,254 runs were lost.
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FakeWorkers.java
@@ -40,6 +40,9 @@
     /** Number of polls. */
     public int pollCount;
 
+    /** How often the calls in flight were given up. */
+    public int abandonCount;
+
     private int mStartsInFlightCount;
 
     /**
@@ -242,4 +245,10 @@
             mLoop.schedule(5, () -> awaitEnd(worker, token, acknowledgedEnd, untilMillis, answer));
         }
     }
+
+    /** Counts only: the delays of calls are those of workers, which have received them. */
+    @Override
+    public void abandonCalls() {
+        abandonCount++;
+    }
 }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkers.java
@@ -319,4 +319,8 @@
             mBase.schedule(5, () -> awaitEnd(worker, incarnation, untilMillis, answer));
         }
     }
+
+    /** Does nothing: a call is delayed by its worker, which has received it, or not delivered. */
+    @Override
+    public void abandonCalls() {}
 }
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -305,7 +305,7 @@
         sendOrders();
     }
 
-    /** Stops scheduling and sends no more orders. */
+    /** Stops scheduling, sends no more orders and gives up those in flight. */
     public void close() {
         mOpen = false;
         mWriter.close();
@@ -314,6 +314,8 @@
         mWorkers.close();
         mAwayTasks.close();
         mStopMonitor.close();
+        // Last, since the closed sessions ignore the outcomes.
+        mControl.abandonCalls();
     }
 
     /**
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/port/WorkerControl.java
@@ -235,4 +235,11 @@
             long acknowledgedEnd,
             long waitMillis,
             long timeoutMillis);
+
+    /**
+     * Gives up all calls in flight. One that has not been delivered never is: the leader that sent
+     * it has ended, and its successor may give the run up before the worker restarts and forgets
+     * the fencing token.
+     */
+    void abandonCalls();
 }
