Play held calls, mass restarts and hand-overs in the random test

The longest lease is now chosen per play (lease10), calls can be held (HELD, held; resets and proxy choose what becomes of them), workers can restart together (RESTART_ALL, REBORN_ALL) or be cut off from the store too (ISOLATED, isolated), processes can lead by turns (HAND_OVER), and a path from one process to a worker can be cut or held. IncidentFaults combines them (incident).

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkers.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkers.java
@@ -1,5 +1,6 @@
 package org.hornbeamward.dispatch.fake;
 
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -16,6 +17,9 @@
     private static final int MAX_CONNECT_MILLIS = 400;
     private static final int MAX_LIST_AGE_MILLIS = 400;
 
+    /** Time after the end of {@link SimulatedWorker.Fault#HELD} in which the calls arrive. */
+    private static final int MAX_RELEASE_MILLIS = 20;
+
     /** What a call does on the worker; it passes the result on once there is one. */
     private interface Action<T> {
         void run(SimulatedWorker worker, boolean late, Consumer<T> answer);
@@ -42,6 +46,7 @@
     private final class Call<T> {
         private final CompletableFuture<T> mAnswer = new CompletableFuture<>();
         private final T mUnknown;
+        private final int mClosedCount = FaultyWorkers.this.mClosedCount;
         private @Nullable WorkerConnections mTakenFrom;
         private int mIncarnation;
 
@@ -91,6 +96,11 @@
             }
         }
 
+        /** Returns whether the caller has neither given the call up nor closed its connections. */
+        boolean isAwaited() {
+            return !mAnswer.isDone() && mClosedCount == FaultyWorkers.this.mClosedCount;
+        }
+
         private void timeOut() {
             if (!mAnswer.isDone()) {
                 if (!timedOutCallsKeepConnections) {
@@ -111,6 +121,9 @@
     private final Loop mLoop;
     private final Map<String, SimulatedWorker> mWorkers;
     private final Map<String, WorkerConnections> mConnections = new HashMap<>();
+    private final Map<String, Map<SimulatedWorker.Fault, Long>> mLinkFaultEndMillis =
+            new HashMap<>();
+    private int mClosedCount;
 
     /** Whether a delayed order may be carried out by a later incarnation of its worker. */
     public boolean laterIncarnationsTakeOrders;
@@ -118,6 +131,15 @@
     /** Whether the connection of a call that has timed out stays open and takes no other call. */
     public boolean timedOutCallsKeepConnections;
 
+    /** Whether the caller resets the connections that it gives up, so that held calls are lost. */
+    public boolean resetsConnections;
+
+    /**
+     * Whether a proxy accepts connections while calls are held. Otherwise a call that needs a new
+     * one is sent when the fault ends, and only if its caller still waits.
+     */
+    public boolean proxyHoldsCalls;
+
     /**
      * Creates connections.
      *
@@ -133,9 +155,37 @@
 
     /** Closes all connections, as at the end of the process. */
     public void closeConnections() {
+        mClosedCount++;
         mConnections.values().forEach(WorkerConnections::closeAll);
     }
 
+    /**
+     * Starts or prolongs a fault of the path from this process to a worker.
+     *
+     * @param worker id of the worker
+     * @param fault {@link SimulatedWorker.Fault#CUT} or {@link SimulatedWorker.Fault#HELD}
+     * @param untilMillis monotonic time at which it ends
+     */
+    public void addLinkFault(String worker, SimulatedWorker.Fault fault, long untilMillis) {
+        mLinkFaultEndMillis
+                .computeIfAbsent(worker, name -> new EnumMap<>(SimulatedWorker.Fault.class))
+                .merge(fault, untilMillis, Math::max);
+    }
+
+    private long faultEndMillis(SimulatedWorker worker, SimulatedWorker.Fault fault) {
+        Map<SimulatedWorker.Fault, Long> ofLink =
+                mLinkFaultEndMillis.getOrDefault(worker.name(), Map.of());
+        return Math.max(worker.faultEndMillis(fault), ofLink.getOrDefault(fault, 0L));
+    }
+
+    private boolean isCut(SimulatedWorker worker) {
+        return mBase.nowMillis() < faultEndMillis(worker, SimulatedWorker.Fault.CUT);
+    }
+
+    private boolean isHeld(SimulatedWorker worker) {
+        return mBase.nowMillis() < faultEndMillis(worker, SimulatedWorker.Fault.HELD);
+    }
+
     private WorkerConnections connections(SimulatedWorker worker) {
         return mConnections.computeIfAbsent(worker.name(), name -> new WorkerConnections(worker));
     }
@@ -146,12 +196,22 @@
         SimulatedWorker worker = mWorkers.get(entry.address());
         if (worker == null) {
             mLoop.schedule(0, () -> call.end(failures.notSent()));
-        } else if (worker.has(SimulatedWorker.Fault.REFUSED)) {
+        } else {
+            send(worker, call, failures, action);
+        }
+        return call.mAnswer;
+    }
+
+    private <T> void send(
+            SimulatedWorker worker, Call<T> call, Failures<T> failures, Action<T> action) {
+        if (worker.has(SimulatedWorker.Fault.REFUSED)) {
             mLoop.schedule(
                     worker.random().nextInt(MAX_CONNECT_MILLIS),
                     () -> call.end(failures.notSent()));
-        } else if (worker.has(SimulatedWorker.Fault.CUT)) {
+        } else if (isCut(worker)) {
             call.connectIfOpen(worker);
+        } else if (isHeld(worker)) {
+            hold(worker, call, failures, action);
         } else if (worker.has(SimulatedWorker.Fault.OTHER_WORKER)) {
             deliver(worker, () -> call.end(failures.otherWorker()));
         } else if (!worker.isUp()) {
@@ -170,7 +230,55 @@
                 carryOut(worker, call, reset, action);
             }
         }
-        return call.mAnswer;
+    }
+
+    /** Keeps a call until the fault ends. */
+    private <T> void hold(
+            SimulatedWorker worker, Call<T> call, Failures<T> failures, Action<T> action) {
+        call.connectIfOpen(worker);
+        if (call.mTakenFrom != null || proxyHoldsCalls) {
+            release(worker, call, worker.incarnation(), action);
+        } else {
+            afterHeld(
+                    worker,
+                    () -> {
+                        if (call.isAwaited()) {
+                            send(worker, call, failures, action);
+                        }
+                    });
+        }
+    }
+
+    /** Carries out a call that is held on an open connection once the fault has ended. */
+    private <T> void release(
+            SimulatedWorker worker, Call<T> call, int incarnation, Action<T> action) {
+        if (isHeld(worker)) {
+            afterHeld(worker, () -> release(worker, call, incarnation, action));
+            return;
+        }
+        boolean sameProcess = worker.incarnation() == incarnation || laterIncarnationsTakeOrders;
+        if (!worker.isUp() || !sameProcess) {
+            mLoop.schedule(1, call::reset);
+        } else if (!isCut(worker) && (call.isAwaited() || !resetsConnections)) {
+            action.run(
+                    worker,
+                    true,
+                    outcome -> answer(worker, worker.incarnation(), () -> call.end(outcome)));
+        }
+    }
+
+    /** Delivers an answer, after the end of the fault if answers are held. */
+    private void answer(SimulatedWorker worker, int incarnation, Runnable end) {
+        if (isHeld(worker)) {
+            afterHeld(worker, () -> answer(worker, incarnation, end));
+        } else if (answers(worker, incarnation)) {
+            deliver(worker, end);
+        }
+    }
+
+    private void afterHeld(SimulatedWorker worker, Runnable action) {
+        long leftMillis = faultEndMillis(worker, SimulatedWorker.Fault.HELD) - mBase.nowMillis();
+        mBase.schedule(leftMillis + worker.random().nextInt(MAX_RELEASE_MILLIS), action);
     }
 
     private <T> void carryOut(
@@ -184,17 +292,19 @@
                 () -> {
                     boolean sameProcess =
                             worker.incarnation() == incarnation || laterIncarnationsTakeOrders;
-                    if (!worker.isUp() || !sameProcess) {
+                    if (!late && isHeld(worker)) {
+                        release(worker, call, incarnation, action);
+                    } else if (!worker.isUp() || !sameProcess) {
                         mLoop.schedule(1, call::reset);
-                    } else if (late || !worker.has(SimulatedWorker.Fault.CUT)) {
+                    } else if (late || !isCut(worker)) {
                         action.run(
                                 worker,
                                 late,
                                 outcome -> {
-                                    if (!late && answers(worker, incarnation)) {
-                                        deliver(
-                                                worker,
-                                                reset ? call::reset : () -> call.end(outcome));
+                                    if (!late) {
+                                        Runnable end =
+                                                reset ? call::reset : () -> call.end(outcome);
+                                        answer(worker, incarnation, end);
                                     }
                                 });
                     }
@@ -223,10 +333,10 @@
         return call(entry, timeoutMillis, ORDER_FAILURES, action);
     }
 
-    private static boolean answers(SimulatedWorker worker, int incarnation) {
+    private boolean answers(SimulatedWorker worker, int incarnation) {
         return worker.incarnation() == incarnation
                 && worker.isUp()
-                && !worker.has(SimulatedWorker.Fault.CUT)
+                && !isCut(worker)
                 && !worker.has(SimulatedWorker.Fault.ANSWERS_LOST);
     }
 
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkersTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/FaultyWorkersTest.java
@@ -163,4 +163,88 @@
         PollOutcome.Seen seen = assertInstanceOf(PollOutcome.Seen.class, answer(poll));
         assertEquals(1, seen.running().size());
     }
+
+    /** Sends a stop while calls are held; its caller gives it up before that ends. */
+    private void stopWhileCallsAreHeld(FaultyWorkers control) {
+        addFault(SimulatedWorker.Fault.HELD, 2 * TIMEOUT_MILLIS);
+        assertInstanceOf(
+                OrderOutcome.Unknown.class,
+                answer(control.stop(mWorker.entry(), TASK, 1, 1, TIMEOUT_MILLIS)));
+        assertEquals(0, mEnds.mEndCount);
+    }
+
+    @Test
+    void aHeldCallIsCarriedOutThoughItsCallerHasGivenItUp() {
+        start();
+        stopWhileCallsAreHeld(mControl);
+        mLoop.advance(2 * TIMEOUT_MILLIS);
+        assertEquals(1, mEnds.mEndCount);
+    }
+
+    @Test
+    void aHeldCallIsCarriedOutThoughItsProcessHasEnded() {
+        start();
+        stopWhileCallsAreHeld(mControl);
+        mControl.closeConnections();
+        mLoop.advance(2 * TIMEOUT_MILLIS);
+        assertEquals(1, mEnds.mEndCount);
+    }
+
+    @Test
+    void aHeldCallIsLostIfItsCallerResetsTheConnection() {
+        mControl.resetsConnections = true;
+        start();
+        stopWhileCallsAreHeld(mControl);
+        mLoop.advance(2 * TIMEOUT_MILLIS);
+        assertEquals(0, mEnds.mEndCount);
+    }
+
+    @Test
+    void aHeldCallWithoutAnOpenConnectionIsSentOnlyWhileItsCallerWaits() {
+        start();
+        FaultyWorkers other = new FaultyWorkers(mLoop, mLoop, Map.of("w", mWorker));
+        stopWhileCallsAreHeld(other);
+        mLoop.advance(2 * TIMEOUT_MILLIS);
+        assertEquals(0, mEnds.mEndCount);
+        addFault(SimulatedWorker.Fault.HELD, TIMEOUT_MILLIS / 2);
+        assertInstanceOf(
+                OrderOutcome.Done.class,
+                answer(other.stop(mWorker.entry(), TASK, 1, 1, TIMEOUT_MILLIS)));
+        assertEquals(1, mEnds.mEndCount);
+    }
+
+    @Test
+    void aProxyHoldsCallsWithoutAnOpenConnection() {
+        start();
+        FaultyWorkers other = new FaultyWorkers(mLoop, mLoop, Map.of("w", mWorker));
+        other.proxyHoldsCalls = true;
+        stopWhileCallsAreHeld(other);
+        mLoop.advance(2 * TIMEOUT_MILLIS);
+        assertEquals(1, mEnds.mEndCount);
+    }
+
+    @Test
+    void aHeldCallIsLostIfTheWorkerRestarts() {
+        start();
+        mControl.proxyHoldsCalls = true;
+        stopWhileCallsAreHeld(mControl);
+        mWorker.crash();
+        mWorker.startAgain();
+        mLoop.advance(2 * TIMEOUT_MILLIS);
+        start();
+        PollOutcome.Seen seen = assertInstanceOf(PollOutcome.Seen.class, poll());
+        assertEquals(1, seen.running().size());
+    }
+
+    @Test
+    void aFaultOfOnePathLeavesThoseOfOtherProcesses() {
+        start();
+        FaultyWorkers other = new FaultyWorkers(mLoop, mLoop, Map.of("w", mWorker));
+        long untilMillis = mLoop.nowMillis() + 10 * TIMEOUT_MILLIS;
+        other.addLinkFault("w", SimulatedWorker.Fault.CUT, untilMillis);
+        assertInstanceOf(
+                PollOutcome.Failed.class,
+                answer(other.poll(mWorker.entry(), null, 1, 0, 0, TIMEOUT_MILLIS)));
+        assertInstanceOf(PollOutcome.Seen.class, poll());
+    }
 }
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/SimulatedWorker.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/fake/SimulatedWorker.java
@@ -31,6 +31,11 @@
     public enum Fault {
         /** Neither calls nor answers arrive. */
         CUT,
+        /**
+         * Calls and answers arrive in random order once the fault has ended, whether or not the
+         * caller still waits for them.
+         */
+        HELD,
         /** Calls are carried out, but no answer arrives. */
         ANSWERS_LOST,
         /** Half of the calls are carried out 2 to 12 s after they were sent, without an answer. */
@@ -228,6 +233,11 @@
         return mLoop.nowMillis() < mFaultEndMillis.getOrDefault(fault, 0L);
     }
 
+    /** Returns the monotonic time at which a fault ends; 0 if it has never been added. */
+    long faultEndMillis(Fault fault) {
+        return mFaultEndMillis.getOrDefault(fault, 0L);
+    }
+
     /** Ends the process; all runs and reports are lost. */
     public void crash() {
         for (LiveRun run : mRuns) {
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaults.java
@@ -52,9 +52,27 @@
         CANCEL,
         /** The worker restarts at once; its entry is written after the duration. */
         RESTART,
+        /**
+         * All workers, or every second one for odd targets, restart at one moment; their entries
+         * are written within the duration.
+         */
+        RESTART_ALL,
+        /**
+         * The same, while calls to these workers are held for the duration; their entries are
+         * written within {@link #ENTRY_DELAY_MILLIS}.
+         */
+        REBORN_ALL,
         /** The worker is down for the duration. */
         DOWN,
         CUT,
+        /** The worker is cut off for the duration, also from the store. */
+        ISOLATED,
+        /** Calls and answers are held for the duration and arrive afterwards. */
+        HELD,
+        /** The same for the process of one leader; see {@link #linkTarget}. */
+        HELD_FROM_LEADER,
+        /** The worker is cut off from the process of one leader; see {@link #linkTarget}. */
+        CUT_FROM_LEADER,
         ANSWERS_LOST,
         LATE_CALLS,
         JITTER,
@@ -96,6 +114,11 @@
         LEADER_KILLED,
         /** The leader resigns; a successor starts after the duration. */
         LEADER_RESIGNED,
+        /**
+         * The leader resigns and its process goes on; after the duration, the process that the
+         * target names leads, which may have led before.
+         */
+        HAND_OVER,
         /** The leader is paused for the duration. */
         LEADER_PAUSED,
         /** The leader is paused for the duration; a successor starts meanwhile. */
@@ -130,6 +153,9 @@
      *     numbers it reaches
      * @param timedOutCallsKeepConnections a call that has timed out keeps its connection
      * @param losesFirstStops the first stop of a run is answered and has no effect
+     * @param resetsConnections calls that are held are lost if their caller gives them up
+     * @param proxyHoldsCalls calls that are held need no open connection
+     * @param longestLeaseMillis longest lease that workers grant
      */
     record Variant(
             boolean hidesStoppingRuns,
@@ -137,9 +163,32 @@
             boolean unregisteredAnswersOther,
             boolean remembersAcknowledgements,
             boolean timedOutCallsKeepConnections,
-            boolean losesFirstStops) {
+            boolean losesFirstStops,
+            boolean resetsConnections,
+            boolean proxyHoldsCalls,
+            long longestLeaseMillis) {
         static final Variant NONE = new Variant(false, false, false, false);
 
+        /** Creates a variant without a proxy in which connections are closed without a reset. */
+        Variant(
+                boolean hidesStoppingRuns,
+                boolean laterIncarnationsTakeOrders,
+                boolean unregisteredAnswersOther,
+                boolean remembersAcknowledgements,
+                boolean timedOutCallsKeepConnections,
+                boolean losesFirstStops) {
+            this(
+                    hidesStoppingRuns,
+                    laterIncarnationsTakeOrders,
+                    unregisteredAnswersOther,
+                    remembersAcknowledgements,
+                    timedOutCallsKeepConnections,
+                    losesFirstStops,
+                    false,
+                    false,
+                    LONGEST_LEASE_MILLIS);
+        }
+
         /** Creates a variant in which no connection is kept and no stop is lost. */
         Variant(
                 boolean hidesStoppingRuns,
@@ -154,10 +203,55 @@
                     false,
                     false);
         }
+
+        /** Returns the variant with another longest lease. */
+        Variant withLongestLease(long millis) {
+            return new Variant(
+                    hidesStoppingRuns,
+                    laterIncarnationsTakeOrders,
+                    unregisteredAnswersOther,
+                    remembersAcknowledgements,
+                    timedOutCallsKeepConnections,
+                    losesFirstStops,
+                    resetsConnections,
+                    proxyHoldsCalls,
+                    millis);
+        }
+
+        /** Returns the variant with other fates of the calls that are held. */
+        Variant withHeldCalls(boolean resets, boolean proxy) {
+            return new Variant(
+                    hidesStoppingRuns,
+                    laterIncarnationsTakeOrders,
+                    unregisteredAnswersOther,
+                    remembersAcknowledgements,
+                    timedOutCallsKeepConnections,
+                    losesFirstStops,
+                    resets,
+                    proxy,
+                    longestLeaseMillis);
+        }
     }
 
     static final int WORKER_COUNT = 4;
 
+    /** Number of the processes that {@link Kind#HAND_OVER} names. */
+    static final int PROCESS_COUNT = 3;
+
+    /** Longest lease that is longer than those that leaders grant, as on the site confirma-ro. */
+    static final long LONGER_LEASE_MILLIS = 10_000;
+
+    /** Time within which the entries of workers that restart at one moment are written. */
+    static final int ENTRY_DELAY_MILLIS = 3_000;
+
+    /** Time that a worker's process takes at least until it takes calls again. */
+    private static final int MIN_RESTART_MILLIS = 110;
+
+    private static final int MAX_RESTART_MILLIS = 1_500;
+
+    /** Time within which workers that restart at one moment begin. */
+    private static final int SAME_MOMENT_MILLIS = 100;
+
     /** Largest number of connections to a worker, more than the calls of two leaders need. */
     private static final int MAX_CONNECTION_COUNT = 16;
 
@@ -183,19 +277,36 @@
 
     private static final int MAX_FURTHER_COUNT = 10;
 
-    private final class Leader implements StatusListener {
+    /** A process, which may lead several times, and its connections. */
+    private final class EntryProcess {
         private final PausableLoop mProcessLoop = new PausableLoop(mLoop);
         private final FaultyStore mConnection =
                 new FaultyStore(mLoop, mProcessLoop, mStore, mRandom);
         private final FaultyWorkers mControl = new FaultyWorkers(mLoop, mProcessLoop, mWorkers);
+
+        EntryProcess() {
+            mControl.laterIncarnationsTakeOrders = mVariant.laterIncarnationsTakeOrders();
+            mControl.timedOutCallsKeepConnections = mVariant.timedOutCallsKeepConnections();
+            mControl.resetsConnections = mVariant.resetsConnections();
+            mControl.proxyHoldsCalls = mVariant.proxyHoldsCalls();
+        }
+    }
+
+    private final class Leader implements StatusListener {
+        private final EntryProcess mProcess;
+        private final PausableLoop mProcessLoop;
+        private final FaultyStore mConnection;
+        private final FaultyWorkers mControl;
         private final Dispatcher mDispatcher;
         private final Map<JobId, JobPhase> mPhases = new HashMap<>();
         private long mFirstRecordMillis = -1;
         private boolean mGone;
 
-        Leader(long epoch, FormerLeader former) {
-            mControl.laterIncarnationsTakeOrders = mVariant.laterIncarnationsTakeOrders();
-            mControl.timedOutCallsKeepConnections = mVariant.timedOutCallsKeepConnections();
+        Leader(EntryProcess process, long epoch, FormerLeader former) {
+            mProcess = process;
+            mProcessLoop = process.mProcessLoop;
+            mConnection = process.mConnection;
+            mControl = process.mControl;
             mDispatcher = newDispatcher(mControl, epoch, former);
             mDispatcher.configure(
                     ClusterConfig.of(
@@ -225,7 +336,7 @@
                     control,
                     RandomFaults.this,
                     this,
-                    new DispatchLimits(LONGEST_LEASE_MILLIS, 200, 600_000, 1.0, 1_000),
+                    new DispatchLimits(mVariant.longestLeaseMillis(), 200, 600_000, 1.0, 1_000),
                     new NodeMetrics(),
                     epoch,
                     former,
@@ -262,6 +373,9 @@
     private final Map<String, SimulatedWorker> mWorkers = new LinkedHashMap<>();
     private final Set<String> mGoneForGood = new HashSet<>();
 
+    /** Monotonic time until which a worker does not reach the store. */
+    private final Map<String, Long> mIsolatedUntilMillis = new HashMap<>();
+
     /** The incarnation of each worker whose entry was written last. */
     private final Map<String, Integer> mRegistered = new HashMap<>();
 
@@ -269,6 +383,7 @@
     private final List<JobId> mJobs = new ArrayList<>();
     private final RunHistory mHistory;
     private final long mStartMillis;
+    private final @Nullable EntryProcess[] mProcesses = new EntryProcess[PROCESS_COUNT];
     private @Nullable Leader mLeader;
     private long mEpoch;
     private boolean mCalm;
@@ -292,7 +407,7 @@
                 new SimulatedWorker(
                         mLoop,
                         name,
-                        LONGEST_LEASE_MILLIS,
+                        mVariant.longestLeaseMillis(),
                         number % 2 == 0 ? 98 : 100,
                         // Its own, so that the order of calls to several workers is irrelevant.
                         new Random(mSeed * mWorkerCount + number),
@@ -345,16 +460,35 @@
      * @return the rules that were broken
      */
     static List<RunHistory.Violation> runLoss(long seed, List<Event> schedule) {
+        return runLoss(seed, schedule, Variant.NONE);
+    }
+
+    private static List<RunHistory.Violation> runLoss(
+            long seed, List<Event> schedule, Variant variant) {
         // The workers that are left may lack the room for all tasks that last, so that only
         // TASK_AWAY tells whether one of them has to run.
-        return new RandomFaults(seed, Variant.NONE, lossWorkerCount(seed)).run(schedule, false);
+        return new RandomFaults(seed, variant, lossWorkerCount(seed)).run(schedule, false);
+    }
+
+    /**
+     * Runs through a schedule of {@link IncidentFaults}.
+     *
+     * @param seed seed of all delays
+     * @param schedule the events
+     * @param variant cases that the documentation leaves open
+     * @return the rules that were broken
+     */
+    static List<RunHistory.Violation> runIncident(
+            long seed, List<Event> schedule, Variant variant) {
+        int workerCount = IncidentFaults.workerCount(seed);
+        return new RandomFaults(seed, variant, workerCount).run(schedule, false);
     }
 
     private List<RunHistory.Violation> run(List<Event> schedule, boolean roomForAll) {
         if (!roomForAll) {
             rewriteEntries();
         }
-        startLeader(new FormerLeader.Unknown());
+        startLeader(process(0), new FormerLeader.Unknown());
         long endMillis = 2_000;
         for (Event event : schedule) {
             mLoop.schedule(event.atMillis(), () -> apply(event));
@@ -423,6 +557,10 @@
             case LEASE_DROPPED, GONE, GONE_SILENTLY -> 0;
             // A worker that is up counts as about to be registered.
             case RESTART -> Math.max(0, millis - ENTRY_INTERVAL_MILLIS);
+            case RESTART_ALL -> millis + MAX_RESTART_MILLIS;
+            case REBORN_ALL ->
+                    Math.max(millis, ENTRY_DELAY_MILLIS + MAX_RESTART_MILLIS)
+                            + RunHistory.LINGER_MILLIS;
             case DOWN,
                     OTHER_WORKER,
                     UNHEALTHY,
@@ -436,7 +574,16 @@
                     MUTE,
                     SHED ->
                     millis;
-            case CUT, ANSWERS_LOST, JITTER, REFUSED, RESET -> millis + RunHistory.LINGER_MILLIS;
+            case CUT,
+                    ISOLATED,
+                    HELD,
+                    HELD_FROM_LEADER,
+                    CUT_FROM_LEADER,
+                    ANSWERS_LOST,
+                    JITTER,
+                    REFUSED,
+                    RESET ->
+                    millis + RunHistory.LINGER_MILLIS;
             case LATE_CALLS -> millis + LATEST_CALL_MILLIS + RunHistory.LINGER_MILLIS;
             case STORE_SLOW,
                     STORE_UNANSWERED,
@@ -448,7 +595,7 @@
                     LEADER_PAUSED_AND_REPLACED,
                     LEADER_CUT_AND_REPLACED ->
                     millis + RunHistory.LINGER_MILLIS;
-            case LEADER_KILLED, LEADER_RESIGNED ->
+            case LEADER_KILLED, LEADER_RESIGNED, HAND_OVER ->
                     Math.max(0, millis - ELECTION_MILLIS) + RunHistory.LINGER_MILLIS;
         };
     }
@@ -489,7 +636,7 @@
                 }
             }
             case DOWN -> takeDown(worker, event.millis());
-            case CUT -> worker.addFault(SimulatedWorker.Fault.CUT, untilMillis);
+            case CUT, HANG -> worker.addFault(SimulatedWorker.Fault.CUT, untilMillis);
             case ANSWERS_LOST -> worker.addFault(SimulatedWorker.Fault.ANSWERS_LOST, untilMillis);
             case LATE_CALLS -> worker.addFault(SimulatedWorker.Fault.LATE_CALLS, untilMillis);
             case JITTER -> worker.addFault(SimulatedWorker.Fault.JITTER, untilMillis);
@@ -516,7 +663,6 @@
                     worker.addFault(SimulatedWorker.Fault.STARTS_REFUSED, untilMillis);
             case STARTS_HANG -> worker.addFault(SimulatedWorker.Fault.STARTS_HANG, untilMillis);
             case ORDERS_HANG -> worker.addFault(SimulatedWorker.Fault.ORDERS_HANG, untilMillis);
-            case HANG -> worker.addFault(SimulatedWorker.Fault.CUT, untilMillis);
             case MUTE -> addPartialFault(worker, SimulatedWorker.Fault.MUTE, event);
             case SHED -> addPartialFault(worker, SimulatedWorker.Fault.SHED, event);
             case RESET -> addPartialFault(worker, SimulatedWorker.Fault.RESET, event);
@@ -527,10 +673,88 @@
             case STORE_REFUSED -> disturbStore(FaultyStore.Fault.REFUSED, event.millis());
             case STORE_DOWN -> takeStoreDown(event.millis());
             case STORE_LOADS_SLOWLY -> loadSlowly(100L * event.target(), event.millis());
+            case RESTART_ALL, REBORN_ALL -> restartMany(event);
+            case ISOLATED -> isolate(worker, event.millis());
+            case HELD -> worker.addFault(SimulatedWorker.Fault.HELD, untilMillis);
+            case HELD_FROM_LEADER, CUT_FROM_LEADER -> disturbLink(event);
             default -> disturbLeader(event);
         }
     }
 
+    private void isolate(SimulatedWorker worker, long millis) {
+        long untilMillis = mLoop.nowMillis() + millis;
+        worker.addFault(SimulatedWorker.Fault.CUT, untilMillis);
+        mIsolatedUntilMillis.merge(worker.name(), untilMillis, Math::max);
+        if (millis > ENTRY_LIFE_MILLIS) {
+            mLoop.schedule(
+                    ENTRY_LIFE_MILLIS,
+                    () -> mStore.records(Topic.WORKERS).add(new KeyedRecord(worker.name(), null)));
+        }
+        mLoop.schedule(millis + mRandom.nextInt(300), () -> register(worker));
+    }
+
+    /** Returns the target of a fault of the path from a process to a worker. */
+    static int linkTarget(int worker, int process) {
+        return worker * PROCESS_COUNT + process;
+    }
+
+    private void disturbLink(Event event) {
+        SimulatedWorker.Fault fault =
+                event.kind() == Kind.HELD_FROM_LEADER
+                        ? SimulatedWorker.Fault.HELD
+                        : SimulatedWorker.Fault.CUT;
+        process(event.target())
+                .mControl
+                .addLinkFault(
+                        "w" + event.target() / PROCESS_COUNT % mWorkerCount,
+                        fault,
+                        mLoop.nowMillis() + event.millis());
+    }
+
+    private EntryProcess process(int number) {
+        int index = number % PROCESS_COUNT;
+        EntryProcess process = mProcesses[index];
+        if (process == null) {
+            process = new EntryProcess();
+            mProcesses[index] = process;
+        }
+        return process;
+    }
+
+    /** Has another process take the place of one that has been killed. */
+    private void forget(EntryProcess process) {
+        for (int index = 0; index < PROCESS_COUNT; index++) {
+            if (mProcesses[index] == process) {
+                mProcesses[index] = null;
+            }
+        }
+    }
+
+    private void restartMany(Event event) {
+        // Its own, so that the delays are the same in a schedule with fewer events.
+        Random random = new Random(mSeed * 17 + event.atMillis());
+        boolean reborn = event.kind() == Kind.REBORN_ALL;
+        int downMillis =
+                MIN_RESTART_MILLIS
+                        + random.nextInt(
+                                MAX_RESTART_MILLIS - MIN_RESTART_MILLIS - SAME_MOMENT_MILLIS);
+        int step = 1 + event.target() % 2;
+        for (int number = 0; number < mWorkerCount; number += step) {
+            SimulatedWorker worker = Objects.requireNonNull(mWorkers.get("w" + number));
+            int startMillis = downMillis + random.nextInt(SAME_MOMENT_MILLIS);
+            int entryMillis =
+                    random.nextInt(reborn ? ENTRY_DELAY_MILLIS : Math.max(1, (int) event.millis()));
+            if (reborn) {
+                long untilMillis = mLoop.nowMillis() + event.millis();
+                worker.addFault(SimulatedWorker.Fault.HELD, untilMillis);
+            }
+            if (worker.isUp()) {
+                worker.crash();
+                mLoop.schedule(startMillis, () -> startAgain(worker, entryMillis));
+            }
+        }
+    }
+
     private void takeStoreDown(long millis) {
         disturbed(millis);
         mStore.down = true;
@@ -633,6 +857,7 @@
             case LEADER_KILLED -> {
                 leader.close();
                 leader.mProcessLoop.kill();
+                forget(leader.mProcess);
                 replace(former, event.millis());
             }
             case LEADER_RESIGNED -> {
@@ -646,6 +871,7 @@
                                         : leader.mFirstRecordMillis),
                         event.millis());
             }
+            case HAND_OVER -> handOver(leader, event);
             case LEADER_PAUSED -> pause(leader, event.millis());
             case LEADER_PAUSED_AND_REPLACED -> {
                 pause(leader, event.millis());
@@ -659,6 +885,26 @@
         }
     }
 
+    /** Replaces a leader by a process that may have led before; the connections stay open. */
+    private void handOver(Leader leader, Event event) {
+        leader.mDispatcher.close();
+        FormerLeader former =
+                new FormerLeader.Stopped(
+                        mEpoch,
+                        mLoop.nowMillis(),
+                        leader.mFirstRecordMillis < 0
+                                ? FormerLeader.Stopped.NEVER_SEEN
+                                : leader.mFirstRecordMillis);
+        mLeader = null;
+        mLoop.schedule(
+                event.millis(),
+                () -> {
+                    if (mLeader == null) {
+                        startLeader(process(event.target()), former);
+                    }
+                });
+    }
+
     private void pause(Leader leader, long millis) {
         leader.mProcessLoop.pause();
         mLoop.schedule(millis, leader.mProcessLoop::resume);
@@ -676,8 +922,12 @@
     }
 
     private void startLeader(FormerLeader former) {
+        startLeader(new EntryProcess(), former);
+    }
+
+    private void startLeader(EntryProcess process, FormerLeader former) {
         disturbed(0);
-        mLeader = new Leader(++mEpoch, former);
+        mLeader = new Leader(process, ++mEpoch, former);
     }
 
     private void disturbStore(FaultyStore.Fault fault, long millis) {
@@ -721,7 +971,8 @@
     }
 
     private void register(SimulatedWorker worker) {
-        if (worker.isUp()) {
+        boolean isolated = mLoop.nowMillis() < mIsolatedUntilMillis.getOrDefault(worker.name(), 0L);
+        if (worker.isUp() && !isolated) {
             mRegistered.put(worker.name(), worker.incarnation());
             byte[] value = String.valueOf(mEntries.size()).getBytes(StandardCharsets.UTF_8);
             mEntries.add(worker.entry());
@@ -1077,8 +1328,11 @@
 
     /**
      * Runs a range of seeds and prints the broken rules: {@code FIRST COUNT [hides] [orders]
-     * [unregistered] [cursor] [shrink] [loss] [series]}. With {@code loss} it plays {@link
-     * #lossSchedule}, and with {@code series} {@link #seriesSchedule}.
+     * [unregistered] [cursor] [shrink] [loss] [series] [incident] [isolated] [held] [resets]
+     * [proxy] [lease10]}. With {@code loss} it plays {@link #lossSchedule}, with {@code series}
+     * {@link #seriesSchedule}, and with {@code incident} {@link IncidentFaults#schedule}. With
+     * {@code held}, every cut holds the calls instead of dropping them, and with {@code isolated},
+     * some workers of {@code incident} are isolated soon after they restart.
      */
     public static void main(String[] arguments) {
         long first = Long.parseLong(arguments[0]);
@@ -1089,17 +1343,38 @@
                         options.contains("hides"),
                         options.contains("orders"),
                         options.contains("unregistered"),
-                        options.contains("cursor"));
+                        options.contains("cursor"),
+                        false,
+                        false,
+                        options.contains("resets"),
+                        options.contains("proxy"),
+                        options.contains("lease10") ? LONGER_LEASE_MILLIS : LONGEST_LEASE_MILLIS);
         Map<RunHistory.Rule, Integer> counts = new HashMap<>();
         int brokenCount = 0;
+        boolean incident = options.contains("incident");
         boolean series = options.contains("series");
         boolean loss = series || options.contains("loss");
         for (long seed = first; seed < first + count; seed++) {
             long playedSeed = seed;
             Function<List<Event>, List<RunHistory.Violation>> play =
-                    events -> loss ? runLoss(playedSeed, events) : run(playedSeed, events, variant);
+                    events ->
+                            incident
+                                    ? runIncident(playedSeed, events, variant)
+                                    : loss
+                                            ? runLoss(playedSeed, events, variant)
+                                            : run(playedSeed, events, variant);
             List<Event> schedule =
-                    series ? seriesSchedule(seed) : loss ? lossSchedule(seed) : schedule(seed);
+                    incident
+                            ? IncidentFaults.schedule(seed)
+                            : series
+                                    ? seriesSchedule(seed)
+                                    : loss ? lossSchedule(seed) : schedule(seed);
+            if (options.contains("isolated")) {
+                schedule = IncidentFaults.isolateWorkers(seed, schedule);
+            }
+            if (options.contains("held")) {
+                schedule = IncidentFaults.holdCalls(schedule);
+            }
             List<RunHistory.Violation> violations = play.apply(schedule);
             if (violations.isEmpty()) {
                 continue;
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaultsTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RandomFaultsTest.java
@@ -48,6 +48,19 @@
         return LongStream.rangeClosed(94, 100);
     }
 
+    static LongStream seedsOfLongerLeases() {
+        return LongStream.rangeClosed(41, 60);
+    }
+
+    static LongStream seedsOfIncidents() {
+        return LongStream.rangeClosed(1, 30);
+    }
+
+    private static void checkIncident(long seed, RandomFaults.Variant variant) {
+        List<RandomFaults.Event> schedule = IncidentFaults.schedule(seed);
+        assertNoneBroken(seed, schedule, RandomFaults.runIncident(seed, schedule, variant));
+    }
+
     private static void checkCancellations(long seed, RandomFaults.Variant variant) {
         List<RandomFaults.Event> schedule = CancellationFaults.schedule(seed);
         assertNoneBroken(seed, schedule, RandomFaults.run(seed, schedule, variant));
@@ -141,4 +154,44 @@
         List<RandomFaults.Event> schedule = RandomFaults.seriesSchedule(seed);
         assertNoneBroken(seed, schedule, RandomFaults.runLoss(seed, schedule));
     }
+
+    /** Guards against bounds that mix the leases that leaders grant up with the longest ones. */
+    @ParameterizedTest
+    @MethodSource("seedsOfLongerLeases")
+    void noRuleIsBrokenWhereWorkersGrantLongerLeasesThanLeaders(long seed) {
+        check(seed, RandomFaults.Variant.NONE.withLongestLease(RandomFaults.LONGER_LEASE_MILLIS));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seedsOfLongerLeases")
+    void noRuleIsBrokenWhereCutsHoldCalls(long seed) {
+        List<RandomFaults.Event> schedule = IncidentFaults.holdCalls(RandomFaults.schedule(seed));
+        RandomFaults.Variant variant = RandomFaults.Variant.NONE;
+        assertNoneBroken(seed, schedule, RandomFaults.run(seed, schedule, variant));
+    }
+
+    /** Guards against two runs after workers restart at one moment and leaders change. */
+    @ParameterizedTest
+    @MethodSource("seedsOfIncidents")
+    void noRuleIsBrokenWhereAllWorkersRestartAndLeadersChange(long seed) {
+        checkIncident(
+                seed, RandomFaults.Variant.NONE.withLongestLease(RandomFaults.LONGER_LEASE_MILLIS));
+    }
+
+    /** Guards against two runs where neither an entry nor an answer shows a restart. */
+    @ParameterizedTest
+    @MethodSource("seedsOfIncidents")
+    void noRuleIsBrokenInIncidentsWhereWorkersAreIsolated(long seed) {
+        List<RandomFaults.Event> schedule =
+                IncidentFaults.isolateWorkers(seed, IncidentFaults.schedule(seed));
+        RandomFaults.Variant variant =
+                RandomFaults.Variant.NONE.withLongestLease(RandomFaults.LONGER_LEASE_MILLIS);
+        assertNoneBroken(seed, schedule, RandomFaults.runIncident(seed, schedule, variant));
+    }
+
+    @ParameterizedTest
+    @MethodSource("seedsOfIncidents")
+    void noRuleIsBrokenInIncidentsWhereConnectionsAreReset(long seed) {
+        checkIncident(seed, RandomFaults.Variant.NONE.withHeldCalls(true, false));
+    }
 }
