Add a failing test of a new leader that counts too short a lease

A worker that restarts while a poll in flight gets no answer accepts a start order whose deadline is a time on the clock of the ended incarnation, and so grants its longest lease.

The test hands over 1.1 s after the restart and cuts the worker off from the successor.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -5,6 +5,7 @@
 
 import org.hornbeamward.dispatch.fake.FakeWorker;
 import org.hornbeamward.dispatch.job.JobPhase;
+import org.hornbeamward.dispatch.job.TaskName;
 import org.hornbeamward.lib.JobId;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
@@ -422,6 +423,56 @@
         assertEquals(1, worker("w2").started.size());
     }
 
+    /**
+     * Has a worker with the longest lease restart during a poll that gets no answer, as after a
+     * loss of power, and accept a task meanwhile. The deadline of the order is a time on the clock
+     * of the ended incarnation, so the later one grants its longest lease.
+     *
+     * @return the leader
+     */
+    private Dispatcher startOnAWorkerThatRestartsDuringAPoll() {
+        for (String name : NAMES) {
+            worker(name).longestLeaseMillis = 10_000;
+        }
+        setTaskMillis(120_000);
+        worker("w2").draining = true;
+        Dispatcher leader = mFixture.startDispatcher(1);
+        mFixture.submit("first", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(60_000);
+        worker("w1").pollDelayMillis = 60_000;
+        mFixture.mLoop.advance(1_500);
+        worker("w1").pollDelayMillis = 0;
+        worker("w1").restart();
+        mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        assertEquals(1, worker("w1").running().size());
+        return leader;
+    }
+
+    /**
+     * Guards against a second run of a task beside one on a restarted worker that only the former
+     * leader has reached: the new one waited for the leases that leaders grant, which are shorter
+     * than the longest that the worker does.
+     */
+    @Test
+    @Tag("known-red")
+    void aNewLeaderWaitsForTheLongestLeaseOfAWorkerThatItsFormerLeaderFoundRestarted() {
+        Dispatcher first = startOnAWorkerThatRestartsDuringAPoll();
+        mFixture.mLoop.advance(700);
+        publishEntries();
+        mFixture.mLoop.advance(300);
+        assertEquals(2, worker("w1").running().size());
+        first.suspend();
+        first.close();
+        worker("w1").unreachable = true;
+        worker("w2").draining = false;
+        publishEntries();
+        long now = mFixture.mLoop.nowMillis();
+        mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 3_000));
+        advanceAndExpectOneRunWithLeases("second", 14_000);
+        assertEquals(2, worker("w2").running().size());
+    }
+
     private void advanceAndExpectOneRunWithLeases(long millis) {
         for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
             mFixture.mLoop.advance(10);
@@ -431,4 +482,18 @@
             assertTrue(mFixture.runningCount() <= 1, "two runs after " + passedMillis + " ms");
         }
     }
+
+    /** Advances the clock and checks that no more than one worker runs the task of a job. */
+    private void advanceAndExpectOneRunWithLeases(String job, long millis) {
+        TaskName task = new TaskName(new JobId(job), 0, 0, 0);
+        for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
+            mFixture.mLoop.advance(10);
+            int runCount = 0;
+            for (String name : NAMES) {
+                worker(name).expireLeases();
+                runCount += worker(name).running().contains(task) ? 1 : 0;
+            }
+            assertTrue(runCount <= 1, "two runs after " + passedMillis + " ms");
+        }
+    }
 }
