Add a failing test of a start order during a poll that hangs

WorkerSession.start takes a poll in flight as a sign that the worker has not restarted, since that poll would fail when the worker ends. On a connection that has gone silent, or after a loss of power, it does not fail before its timeout. A restarted worker that carries out the start without an answer grants its longest lease from then on, while the leader counts the deadline of the poll that hangs, which it sent earlier, and that of the order on the ended incarnation's clock.

The test cuts the worker off after the start, so that no entry and no answer shows the restart.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -428,9 +428,11 @@
      * loss of power, and accept a task meanwhile. The deadline of the order is a time on the clock
      * of the ended incarnation, so the later one grants its longest lease.
      *
+     * @param startDelayMillis delay after which the start takes effect without an answer; 0 for
+     *     none
      * @return the leader
      */
-    private Dispatcher startOnAWorkerThatRestartsDuringAPoll() {
+    private Dispatcher startOnAWorkerThatRestartsDuringAPoll(long startDelayMillis) {
         for (String name : NAMES) {
             worker(name).longestLeaseMillis = 10_000;
         }
@@ -442,6 +444,7 @@
         worker("w1").pollDelayMillis = 60_000;
         mFixture.mLoop.advance(1_500);
         worker("w1").pollDelayMillis = 0;
+        worker("w1").startDelayMillis = startDelayMillis;
         worker("w1").restart();
         mFixture.submit("second", LeaderFixture.step(1, 1_000));
         mFixture.mLoop.advance(100);
@@ -449,6 +452,22 @@
         return leader;
     }
 
+    /**
+     * Guards against a second run of a task on a worker that restarted during a poll without an
+     * answer, carried out the start order and does not answer any more. A poll in flight does not
+     * show that the worker has not restarted: its connection may have gone silent.
+     */
+    @Test
+    @Tag("known-red")
+    void aStartDuringAPollWithoutAnAnswerMayGiveTheLongestLease() {
+        startOnAWorkerThatRestartsDuringAPoll(10);
+        worker("w1").unreachable = true;
+        worker("w2").draining = false;
+        mFixture.registerWorker("w2");
+        advanceAndExpectOneRunWithLeases("second", 14_000);
+        assertEquals(2, worker("w2").running().size());
+    }
+
     /**
      * Guards against a second run of a task beside one on a restarted worker that only the former
      * leader has reached: the new one waited for the leases that leaders grant, which are shorter
@@ -457,7 +476,7 @@
     @Test
     @Tag("known-red")
     void aNewLeaderWaitsForTheLongestLeaseOfAWorkerThatItsFormerLeaderFoundRestarted() {
-        Dispatcher first = startOnAWorkerThatRestartsDuringAPoll();
+        Dispatcher first = startOnAWorkerThatRestartsDuringAPoll(0);
         mFixture.mLoop.advance(700);
         publishEntries();
         mFixture.mLoop.advance(300);
