Add a failing test of a former leader's start after a restart

A new leader gives an inherited run up at its first complete list without it (WorkerSession.isGone, INHERITED), since the poll's fencing token makes the worker refuse the former leader's orders. A worker that restarts afterwards has forgotten the token, and the order's deadline lies far ahead on its new clock, so that it carries out a start that was held up meanwhile.

Only where a later incarnation may take an order that was sent to an earlier one.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -492,6 +492,36 @@
         assertEquals(2, worker("w2").running().size());
     }
 
+    /**
+     * Guards against a start order of a leader that has resigned, which a worker carries out after
+     * its successor's poll did not list the run and after a restart: the poll's fencing token makes
+     * the worker refuse the order, but the later incarnation does not know the token.
+     */
+    @Test
+    @Tag("known-red")
+    void aStartOfAFormerLeaderIsNotCarriedOutAfterARestartThatFollowsTheFirstPoll() {
+        setTaskMillis(10_000);
+        worker("w2").draining = true;
+        Dispatcher first = mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(10_000);
+        worker("w1").startDelayMillis = 3_500;
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        worker("w1").startDelayMillis = 0;
+        first.suspend();
+        first.close();
+        worker("w1").draining = true;
+        worker("w2").draining = false;
+        publishEntries();
+        long now = mFixture.mLoop.nowMillis();
+        mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 3_000));
+        mFixture.mLoop.advance(500);
+        assertEquals(1, worker("w2").started.size());
+        worker("w1").restart();
+        publishEntries();
+        advanceAndExpectRunsAtMost(1, 8_000);
+    }
+
     private void advanceAndExpectOneRunWithLeases(long millis) {
         for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
             mFixture.mLoop.advance(10);
