Add a failing test of a start that outlasts its leader's resignation

A successor counts the leases of a worker that it does not reach from the resignation on. A start order that was held up and that a restarted worker carries out after the resignation gives the longest lease from that time, which is later.

Only where a later incarnation may take an order that was sent to an earlier one.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -522,6 +522,34 @@
         advanceAndExpectRunsAtMost(1, 8_000);
     }
 
+    /**
+     * Guards against a start order of a leader that has resigned, which a restarted worker carries
+     * out afterwards, so that its leases last longer than those of calls that were carried out
+     * before the resignation.
+     */
+    @Test
+    @Tag("known-red")
+    void aStartThatIsCarriedOutAfterItsLeaderResignedIsCountedAmongTheLeases() {
+        setTaskMillis(30_000);
+        worker("w2").draining = true;
+        Dispatcher first = mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(60_000);
+        worker("w1").startDelayMillis = 3_500;
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        worker("w1").startDelayMillis = 0;
+        first.suspend();
+        first.close();
+        worker("w1").restart();
+        worker("w1").unreachable = true;
+        worker("w2").draining = false;
+        publishEntries();
+        long now = mFixture.mLoop.nowMillis();
+        mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 3_000));
+        advanceAndExpectOneRunWithLeases(14_000);
+        assertEquals(1, worker("w2").started.size());
+    }
+
     private void advanceAndExpectOneRunWithLeases(long millis) {
         for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
             mFixture.mLoop.advance(10);
