Add a failing test of a hand-over after an idle worker restarts

The same fault as with a poll that hangs, in an ordinary course: an idle worker is not polled, so that nothing shows its restart until the poll after the next start is answered, up to a second later. The start's deadline on the ended incarnation's clock gives the longest lease (10 s); the run is then recorded for the later incarnation, and a successor that does not reach the worker waits for 7.3 s. Every call before the hand-over is answered.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -9,6 +9,8 @@
 import org.hornbeamward.lib.JobId;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Workers that start again under their id, at the same address, before the leader knows of it. */
 class RestartedWorkerTest {
@@ -492,6 +494,36 @@
         assertEquals(2, worker("w2").running().size());
     }
 
+    /**
+     * Guards against the same where the worker was idle, so that no poll was in flight, and all
+     * calls are answered until the leader resigns.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1_500, 2_800})
+    @Tag("known-red")
+    void aNewLeaderWaitsForTheLongestLeaseOfAWorkerThatRestartedWhileItWasIdle(int handOverMillis) {
+        for (String name : NAMES) {
+            worker(name).longestLeaseMillis = 10_000;
+        }
+        setTaskMillis(30_000);
+        worker("w2").draining = true;
+        Dispatcher first = mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(60_000);
+        worker("w1").restart();
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(handOverMillis);
+        assertEquals(1, worker("w1").running().size());
+        first.suspend();
+        first.close();
+        worker("w1").unreachable = true;
+        worker("w2").draining = false;
+        publishEntries();
+        long now = mFixture.mLoop.nowMillis();
+        mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 3_000));
+        advanceAndExpectOneRunWithLeases(14_000);
+        assertEquals(1, worker("w2").started.size());
+    }
+
     /**
      * Guards against a start order of a leader that has resigned, which a worker carries out after
      * its successor's poll did not list the run and after a restart: the poll's fencing token makes
