--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -5,6 +5,7 @@
 
 import org.hornbeamward.dispatch.fake.FakeWorker;
 import org.hornbeamward.dispatch.job.JobPhase;
+import org.hornbeamward.dispatch.job.TaskName;
 import org.hornbeamward.lib.JobId;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
@@ -424,6 +425,161 @@
         assertEquals(1, worker("w2").started.size());
     }
 
+    /**
+     * Has a worker with the longest lease restart during a poll that gets no answer, as after a
+     * loss of power, and accept a task meanwhile. The deadline of the order is a time on the clock
+     * of the ended incarnation, so the later one grants its longest lease.
+     *
+     * @param startDelayMillis delay after which the start takes effect without an answer; 0 for
+     *     none
+     * @return the leader
+     */
+    private Dispatcher startOnAWorkerThatRestartsDuringAPoll(long startDelayMillis) {
+        for (String name : NAMES) {
+            worker(name).longestLeaseMillis = 10_000;
+        }
+        setTaskMillis(120_000);
+        worker("w2").draining = true;
+        Dispatcher leader = mFixture.startDispatcher(1);
+        mFixture.submit("first", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(60_000);
+        worker("w1").pollDelayMillis = 60_000;
+        mFixture.mLoop.advance(1_500);
+        worker("w1").pollDelayMillis = 0;
+        worker("w1").startDelayMillis = startDelayMillis;
+        worker("w1").restart();
+        mFixture.submit("second", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        assertEquals(1, worker("w1").running().size());
+        return leader;
+    }
+
+    /**
+     * Guards against a second run of a task on a worker that restarted during a poll without an
+     * answer, carried out the start order and does not answer any more. A poll in flight does not
+     * show that the worker has not restarted: its connection may have gone silent.
+     */
+    @Test
+    @Tag("known-red")
+    void aStartDuringAPollWithoutAnAnswerMayGiveTheLongestLease() {
+        startOnAWorkerThatRestartsDuringAPoll(10);
+        worker("w1").unreachable = true;
+        worker("w2").draining = false;
+        mFixture.registerWorker("w2");
+        advanceAndExpectOneRunWithLeases("second", 14_000);
+        assertEquals(2, worker("w2").running().size());
+    }
+
+    /**
+     * Guards against a second run of a task beside one on a restarted worker that only the former
+     * leader has reached: the new one waited for the leases that leaders grant, which are shorter
+     * than the longest that the worker does.
+     */
+    @Test
+    void aNewLeaderWaitsForTheLongestLeaseOfAWorkerThatItsFormerLeaderFoundRestarted() {
+        Dispatcher first = startOnAWorkerThatRestartsDuringAPoll(0);
+        mFixture.mLoop.advance(700);
+        publishEntries();
+        mFixture.mLoop.advance(300);
+        assertEquals(2, worker("w1").running().size());
+        first.suspend();
+        first.close();
+        worker("w1").unreachable = true;
+        worker("w2").draining = false;
+        publishEntries();
+        long now = mFixture.mLoop.nowMillis();
+        mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 3_000));
+        advanceAndExpectOneRunWithLeases("second", 14_000);
+        assertEquals(2, worker("w2").running().size());
+    }
+
+    /**
+     * Guards against the same where the worker was idle, so that no poll was in flight, and all
+     * calls are answered until the leader resigns.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {1_500, 2_800})
+    void aNewLeaderWaitsForTheLongestLeaseOfAWorkerThatRestartedWhileItWasIdle(int handOverMillis) {
+        for (String name : NAMES) {
+            worker(name).longestLeaseMillis = 10_000;
+        }
+        setTaskMillis(30_000);
+        worker("w2").draining = true;
+        Dispatcher first = mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(60_000);
+        worker("w1").restart();
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(handOverMillis);
+        assertEquals(1, worker("w1").running().size());
+        first.suspend();
+        first.close();
+        worker("w1").unreachable = true;
+        worker("w2").draining = false;
+        publishEntries();
+        long now = mFixture.mLoop.nowMillis();
+        mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 3_000));
+        advanceAndExpectOneRunWithLeases(14_000);
+        assertEquals(1, worker("w2").started.size());
+    }
+
+    /**
+     * Guards against a start order of a leader that has resigned, which a worker carries out after
+     * its successor's poll did not list the run and after a restart: the poll's fencing token makes
+     * the worker refuse the order, but the later incarnation does not know the token.
+     */
+    @Test
+    @Tag("known-red")
+    void aStartOfAFormerLeaderIsNotCarriedOutAfterARestartThatFollowsTheFirstPoll() {
+        setTaskMillis(10_000);
+        worker("w2").draining = true;
+        Dispatcher first = mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(10_000);
+        worker("w1").startDelayMillis = 3_500;
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        worker("w1").startDelayMillis = 0;
+        first.suspend();
+        first.close();
+        worker("w1").draining = true;
+        worker("w2").draining = false;
+        publishEntries();
+        long now = mFixture.mLoop.nowMillis();
+        mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 3_000));
+        mFixture.mLoop.advance(500);
+        assertEquals(1, worker("w2").started.size());
+        worker("w1").restart();
+        publishEntries();
+        advanceAndExpectRunsAtMost(1, 8_000);
+    }
+
+    /**
+     * Guards against a start order of a leader that has resigned, which a restarted worker carries
+     * out afterwards, so that its leases last longer than those of calls that were carried out
+     * before the resignation.
+     */
+    @Test
+    @Tag("known-red")
+    void aStartThatIsCarriedOutAfterItsLeaderResignedIsCountedAmongTheLeases() {
+        setTaskMillis(30_000);
+        worker("w2").draining = true;
+        Dispatcher first = mFixture.startDispatcher(1);
+        mFixture.mLoop.advance(60_000);
+        worker("w1").startDelayMillis = 3_500;
+        mFixture.submit("job", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(100);
+        worker("w1").startDelayMillis = 0;
+        first.suspend();
+        first.close();
+        worker("w1").restart();
+        worker("w1").unreachable = true;
+        worker("w2").draining = false;
+        publishEntries();
+        long now = mFixture.mLoop.nowMillis();
+        mFixture.startDispatcher(2, new FormerLeader.Stopped(1, now, now - 3_000));
+        advanceAndExpectOneRunWithLeases(14_000);
+        assertEquals(1, worker("w2").started.size());
+    }
+
     /**
      * Guards against a successor that starts a task again while its worker, which had restarted
      * just before the change of leaders, may still hold the longest lease.
@@ -508,4 +664,18 @@
             assertTrue(mFixture.runningCount() <= 1, "two runs after " + passedMillis + " ms");
         }
     }
+
+    /** Advances the clock and checks that no more than one worker runs the task of a job. */
+    private void advanceAndExpectOneRunWithLeases(String job, long millis) {
+        TaskName task = new TaskName(new JobId(job), 0, 0, 0);
+        for (long passedMillis = 0; passedMillis < millis; passedMillis += 10) {
+            mFixture.mLoop.advance(10);
+            int runCount = 0;
+            for (String name : NAMES) {
+                worker(name).expireLeases();
+                runCount += worker(name).running().contains(task) ? 1 : 0;
+            }
+            assertTrue(runCount <= 1, "two runs after " + passedMillis + " ms");
+        }
+    }
 }
