--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/RestartedWorkerTest.java
@@ -383,7 +383,6 @@
      * poll late, so that its leases last longer than those of calls that are answered.
      */
     @Test
-    @Tag("known-red")
     void aPollThatARestartedWorkerCarriesOutLateIsCountedAmongItsLeases() {
         setTaskMillis(30_000);
         mFixture.startDispatcher(1);
