Pause polls while ends are withheld, and close a dispatcher once

- A new leader that has read an entry without a start time acknowledges no ends.
The worker answers at once while it has some, so that the leader polled it 1,000 times within 3 s.
While acknowledgements are withheld, polls are 150 ms apart now. aWorkerWhoseEntryHasNoStartTimeIsNotPolledWithoutPause failed before.
- A dispatcher that was closed a second time, by a late answer to a resignation, would have given up the calls of a later leader of the same process.
By reading; no run shows it.
- An unknown run whose attempt is the largest number is not taken over, since the next attempt would overflow.

--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/StoppingLeaderTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/entry/StoppingLeaderTest.java
@@ -169,6 +169,9 @@
         mLoop.advance(48);
         assertTrue(hasResigned());
         assertEquals(1, mWorkers.abandonCount);
+        // Not again, when the process may lead anew.
+        mLoop.advance(5_000);
+        assertEquals(1, mWorkers.abandonCount);
     }
 
     /**
--- a/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/OddWorkerEntryTest.java
+++ b/org.hornbeamward.dispatch.test/tst/org/hornbeamward/dispatch/lead/OddWorkerEntryTest.java
@@ -176,6 +176,32 @@
         assertEquals(1, mFixture.startedCount());
     }
 
+    /**
+     * Guards against polls without a pause: a worker answers at once while it has ends, and these
+     * are not acknowledged as long as an entry without a start time hides its incarnation.
+     */
+    @Test
+    void aWorkerWhoseEntryHasNoStartTimeIsNotPolledWithoutPause() {
+        mFirst.taskMillis = 60_000;
+        mSecond.draining = true;
+        Dispatcher leader = mFixture.startDispatcher(1);
+        mFixture.submit("long", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(1_000);
+        mFirst.taskMillis = 2_000;
+        mFixture.submit("short", LeaderFixture.step(1, 1_000));
+        mFixture.mLoop.advance(1_000);
+        assertEquals(2, mFirst.running().size());
+        mFixture.registerOddEntry(oddEntry(mFirst.entry(), 0, mFirst.address));
+        replace(leader);
+        mFixture.mLoop.advance(3_000);
+        assertEquals(1, mFirst.running().size());
+        int pollCount = mFixture.mWorkers.pollCount;
+        mFixture.mLoop.advance(3_000);
+        assertTrue(
+                mFixture.mWorkers.pollCount - pollCount <= 3_000 / 150 + 1,
+                mFixture.mWorkers.pollCount - pollCount + " polls within 3 s");
+    }
+
     /** Guards against an entry that ends runs since its start time is a little later. */
     @Test
     @Tag("known-red")
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Dispatcher.java
@@ -307,6 +307,9 @@
 
     /** Stops scheduling, sends no more orders and gives up those in flight. */
     public void close() {
+        if (!mOpen) {
+            return; // The calls in flight may be those of a later leader of this process.
+        }
         mOpen = false;
         mWriter.close();
         mJobsFollower.stop();
@@ -1099,7 +1102,7 @@
         LogEvent.UNKNOWN_RUN.log(
                 report.task(), report.attempt(), worker.id(), worker.incarnationStartWallMillis());
         Task task = waitingTask(report.task());
-        if (task != null) {
+        if (task != null && report.attempt() < Integer.MAX_VALUE) {
             // The task must not start elsewhere before this run is certainly gone.
             Run run = new Run(task, report.attempt(), worker, "");
             run.paceUncertain = true;
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -771,6 +771,10 @@
                 && mLoop.nowMillis() - mPollSentMillis < RENEWAL_INTERVAL_MILLIS) {
             return;
         }
+        if (isAcknowledgementWithheld()
+                && mLoop.nowMillis() - mPollSentMillis < POLL_RETRY_MILLIS) {
+            return;
+        }
         boolean hasSentRuns =
                 mRuns.values().stream().anyMatch(run -> run.state != Run.State.DECIDED);
         if (hasSentRuns || isProbeDue() || isAcknowledgementDue()) {
@@ -881,11 +885,16 @@
 
     /**
      * Returns whether the worker answers polls at once, with ends that cannot be acknowledged
-     * before a start order is answered.
+     * before a start order is answered, or before the worker's own entry tells its start time.
      */
     private boolean isAcknowledgementWithheld() {
         return mAcknowledgedEndNumber < mStoredEndNumber
-                && mRuns.values().stream().anyMatch(run -> run.state == Run.State.ORDERED);
+                && mRuns.values().stream()
+                        .anyMatch(
+                                run ->
+                                        run.state == Run.State.ORDERED
+                                                || (mIncarnationStartWallMillis == 0
+                                                        && !run.listed));
     }
 
     /**
