--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/Run.java
@@ -177,8 +177,8 @@
     }
 
     /**
-     * Returns whether the previous leader has ordered the run from an incarnation of the worker
-     * that began after another one, and this leader has not seen it yet.
+     * Returns whether the previous leader placed the run on an incarnation of the worker that began
+     * after another one, and this leader has not seen it yet.
      *
      * @param startWallMillis start time of the other incarnation
      */
--- a/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
+++ b/org.hornbeamward.dispatch/src/org/hornbeamward/dispatch/lead/WorkerSession.java
@@ -1058,7 +1058,7 @@
                             || Math.max(run.orderExpiresAtMillis, run.stopSentMillis)
                                     < sentMillis - stopTimeoutMillis();
             // The poll's fencing token makes the worker refuse orders of the previous leader.
-            // A stop order of that one may just be taking effect.
+            // A stop order of that leader may be taking effect, so that neither list has the run.
             case INHERITED ->
                     run.stopping
                             ? hasStopped(run, sentMillis)
